--- /dev/null
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -0,0 +1,63 @@
+//! Measurements of the decision modules. The last line printed is one JSON object with the figures.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use jasminecart_bench::report::Report;
+use jasminecart_bench::{capacity, documents, faults, flows, membership, requests};
+use jasminecart_core::invariant;
+
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+/// Measures the decision modules of jasminecart and prints a table and a line of JSON.
+enum Case {
+    /// Routing of flows under planned changes, next to two baselines
+    #[bpaf(command)]
+    Flows(#[bpaf(external(common))] Common),
+    /// Dispatch of requests under load, next to two baselines
+    #[bpaf(command)]
+    Requests(#[bpaf(external(common))] Common),
+    /// Adoption of documents from 9 to 105 VMs
+    #[bpaf(command)]
+    Documents(#[bpaf(external(common))] Common),
+    /// Detection of deaths and false positives
+    #[bpaf(command)]
+    Membership(#[bpaf(external(common))] Common),
+    /// Randomised faults over several instances, with invariants
+    #[bpaf(command)]
+    Faults(#[bpaf(external(common))] Common),
+    /// Slopes for docs/CAPACITY.md
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(common))] Common),
+}
+
+#[derive(Clone, Debug, Bpaf)]
+struct Common {
+    /// Seed of the run
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let report = run(case().run());
+    for line in &report.table {
+        println!("{line}");
+    }
+    println!("{}", report.figures);
+    let violations = invariant::violations();
+    if violations > 0 {
+        eprintln!("{violations} invariants were violated");
+    }
+    ExitCode::from(u8::from(report.failed || violations > 0))
+}
+
+fn run(case: Case) -> Report {
+    match case {
+        Case::Flows(common) => flows::run(common.seed),
+        Case::Requests(common) => requests::run(common.seed),
+        Case::Documents(common) => documents::run(common.seed),
+        Case::Membership(common) => membership::run(common.seed),
+        Case::Faults(common) => faults::run(common.seed),
+        Case::Capacity(common) => capacity::run(common.seed),
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -0,0 +1,12 @@
+//! Measurements of the decision modules of `jasminecart-core`, without sockets.
+//!
+//! Each case drives the public interface of one module with simulated inputs from a seed and reports the
+//! figures that `docs/design.md`, section 14, names, next to the baselines.
+
+pub mod capacity;
+pub mod documents;
+pub mod faults;
+pub mod flows;
+pub mod membership;
+pub mod report;
+pub mod requests;
--- /dev/null
+++ b/crates/jasminecart/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction; see docs/design.md, section 5.
--- /dev/null
+++ b/crates/jasminecart/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of jasminecart.
+
+fn main() {}
