--- a/crates/jasminecart-core/src/version/parse.rs
+++ b/crates/jasminecart-core/src/version/parse.rs
@@ -243,6 +243,10 @@
             _ => {}
         }
     }
+    // A truncated or empty value of the configuration service must not remove every service.
+    if document.services.is_empty() {
+        Section::empty("service").report(problems, "", "the document has no service");
+    }
     let too_many = |count: usize, most: usize, kind: &str, problems: &mut Problems| {
         if count > most {
             let text = format!("{count} sections; at most {most} are allowed");
--- a/crates/jasminecart-core/tests/document.rs
+++ b/crates/jasminecart-core/tests/document.rs
@@ -38,6 +38,15 @@
     assert!(errors.problems.iter().all(|problem| problem.line >= 8));
 }
 
+// Guards against an empty value of the configuration service that removes every service.
+#[test_case(""; "empty")]
+#[test_case("; only a comment\n"; "comment")]
+#[test_case("[limits]\nmax_attempts = 2\n"; "limits only")]
+fn a_document_without_services_is_refused(text: &str) {
+    let errors = Document::parse(Revision(1), text).unwrap_err();
+    assert!(errors.to_string().contains("no service"), "{errors}");
+}
+
 #[test]
 fn all_problems_are_reported_at_once() {
     let errors = Document::parse(Revision(1), "[service a]\nx = 1\ny = 2\n[what]\n").unwrap_err();
--- a/crates/jasminecart/src/lib.rs
+++ b/crates/jasminecart/src/lib.rs
@@ -1,1 +1,12 @@
-//! Under construction; see docs/design.md, section 5.
+//! Umbrella crate of jasminecart: the command line, and one place to import the other crates from.
+
+pub mod command;
+pub mod errors;
+mod files;
+mod operators;
+
+pub use jasminecart_core as core;
+pub use jasminecart_entry as entry;
+pub use jasminecart_standin as standin;
+
+pub use crate::errors::{Error, Result};
