Add randomised fault runs over complete simulated VMs

Change: case `faults` of the measure binary. Eight VMs in two data centres run all four decision modules over a simulated network, platform, fabric, targets and clients. The invariants are checked from what clients and targets see.

--- a/crates/jasminecart-bench/src/bin/measure.rs
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -25,7 +25,7 @@
     Membership(#[bpaf(external(common))] Common),
     /// Randomised faults over several instances, with invariants
     #[bpaf(command)]
-    Faults(#[bpaf(external(common))] Common),
+    Faults(#[bpaf(external(faults_options))] FaultsOptions),
     /// Slopes for docs/CAPACITY.md
     #[bpaf(command)]
     Capacity(#[bpaf(external(common))] Common),
@@ -38,6 +38,16 @@
     seed: u64,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+struct FaultsOptions {
+    /// Seed of the run
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Steps of 50 ms
+    #[bpaf(argument("M"), fallback(faults::DEFAULT_STEPS), display_fallback)]
+    steps: u64,
+}
+
 fn main() -> ExitCode {
     let report = run(case().run());
     for line in &report.table {
@@ -57,7 +67,7 @@
         Case::Requests(common) => requests::run(common.seed),
         Case::Documents(common) => documents::run(common.seed),
         Case::Membership(common) => membership::run(common.seed),
-        Case::Faults(common) => faults::run(common.seed),
+        Case::Faults(options) => faults::run(options.seed, options.steps),
         Case::Capacity(common) => capacity::run(common.seed),
     }
 }
--- /dev/null
+++ b/crates/jasminecart-bench/src/faults/flows.rs
@@ -0,0 +1,276 @@
+//! Simulated clients with open flows, and the fabric that hands each packet to any VM.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jasminecart_core::flow::{FlowKey, FlowPacket, PacketKind, Route};
+use jasminecart_core::version::{Protocol, TargetState};
+use jasminecart_core::{Millis, Name};
+use rand::RngExt;
+
+use super::platform::{SERVICES, service_address};
+use super::world::{DATA_CENTRES, World};
+
+/// The most VMs that one packet may pass.
+const MAX_HOPS: u8 = 6;
+/// Open flows of a run.
+const MAX_FLOWS: usize = 400;
+/// Two deaths in a data centre within this span may lose both owners of a flow.
+const REPAIR_TIME: Millis = Millis::from_secs(60);
+/// After the end of a cut inside a data centre the views need this time to agree.
+const CUT_RECOVERY: Millis = Millis::from_secs(15);
+/// The bound of I6, from publication.
+const DRAIN_BOUND: Millis = Millis::from_secs(5);
+
+/// A flow as its client sees it.
+#[derive(Clone, Debug)]
+pub(super) struct Flow {
+    key: FlowKey,
+    service: usize,
+    data_centre: usize,
+    /// The target that took the SYN.
+    target: Option<Name>,
+    /// Grows when the client port is used again.
+    generation: u64,
+    next_packet: Millis,
+    /// The mean span between packets; some feeds are idle for minutes.
+    period: Millis,
+    ends_at: Millis,
+    broken: bool,
+}
+
+/// All flows of the run.
+#[derive(Debug, Default)]
+pub(super) struct FlowClients {
+    flows: Vec<Flow>,
+    next_port: u16,
+    /// The times of abrupt deaths, by data centre.
+    pub(super) deaths: BTreeMap<usize, Vec<Millis>>,
+    /// Until when a cut inside a data centre excuses a broken flow.
+    pub(super) cut_until: BTreeMap<usize, Millis>,
+}
+
+impl World {
+    /// Opens flows and sends what is due on open ones.
+    pub(super) fn offer_flows(&mut self) {
+        for _ in 0..2 {
+            if self.flows.flows.len() < MAX_FLOWS {
+                self.open_flow();
+            }
+        }
+        for index in 0..self.flows.flows.len() {
+            if self.flows.flows[index].next_packet <= self.now {
+                self.send_packet(index);
+            }
+        }
+    }
+
+    fn open_flow(&mut self) {
+        let now = self.now;
+        self.flows.next_port = self.flows.next_port.wrapping_add(1);
+        let service = usize::from(self.rng.random_bool(0.3));
+        let data_centre = self.rng.random_range(0..DATA_CENTRES.len());
+        let source = [10, 9, data_centre as u8, self.rng.random_range(1..200)];
+        let key = FlowKey {
+            protocol: Protocol::Tcp,
+            source: SocketAddr::from((source, 1_024 + self.flows.next_port % 60_000)),
+            destination: service_address(service),
+        };
+        let period = [200, 1_000, 10_000, 120_000][self.rng.random_range(0..4)];
+        let life = if self.rng.random_bool(0.5) { 3_600_000 } else { 20_000 };
+        let flow = Flow {
+            key,
+            service,
+            data_centre,
+            target: None,
+            generation: 0,
+            next_packet: now,
+            period: Millis(period),
+            ends_at: now + Millis(life),
+            broken: false,
+        };
+        self.flows.flows.push(flow);
+        self.verdict.flows += 1;
+    }
+
+    fn send_packet(&mut self, index: usize) {
+        let now = self.now;
+        let wait = Millis(self.rng.random_range(1..=2 * self.flows.flows[index].period.get()));
+        let flow = &mut self.flows.flows[index];
+        let kind = if flow.broken {
+            flow.restart(now, wait);
+            return;
+        } else if flow.target.is_none() {
+            flow.next_packet = now + Millis::from_secs(1);
+            PacketKind::Syn
+        } else if flow.ends_at <= now {
+            PacketKind::Fin
+        } else {
+            flow.next_packet = now + wait;
+            PacketKind::Data
+        };
+        let packet = FlowPacket { key: flow.key, kind, forwarded: None };
+        let generation = flow.generation;
+        self.spray(index, generation, packet);
+        // The network may deliver a SYN twice, through different VMs.
+        if kind == PacketKind::Syn && self.rng.random_bool(0.1) {
+            self.spray(index, generation, packet);
+        }
+        let flow = &mut self.flows.flows[index];
+        if kind == PacketKind::Fin {
+            flow.restart(now, wait);
+            self.verdict.flows += 1;
+        }
+    }
+
+    fn spray(&mut self, flow: usize, generation: u64, packet: FlowPacket) {
+        let data_centre = self.flows.flows[flow].data_centre;
+        let candidates: Vec<usize> = (0..self.vms.len())
+            .filter(|vm| vm % DATA_CENTRES.len() == data_centre && self.fabric_uses(*vm))
+            .collect();
+        if candidates.is_empty() {
+            return;
+        }
+        let vm = candidates[self.rng.random_range(0..candidates.len())];
+        self.verdict.packets += 1;
+        self.receive_packet(vm, flow, generation, packet, 0);
+    }
+
+    // The fabric uses VMs that said they are ready, and notices a death after 2 s.
+    fn fabric_uses(&self, index: usize) -> bool {
+        let vm = &self.vms[index];
+        let ready = vm.process.as_ref().is_some_and(|process| {
+            process.ready && process.leaving_since.is_none_or(|at| self.now.since(at).get() < 2_000)
+        });
+        ready || vm.died_at.is_some_and(|at| self.now.since(at).get() < 2_000)
+    }
+
+    /// Lets a VM route a packet, and follows it to the target.
+    pub(super) fn receive_packet(
+        &mut self,
+        vm: usize,
+        flow: usize,
+        generation: u64,
+        packet: FlowPacket,
+        hops: u8,
+    ) {
+        let now = self.now;
+        if self.vms[vm].process.is_none() {
+            return;
+        }
+        if self.vms[vm].paused_until > now {
+            self.vms[vm].packets.push_back((flow, generation, packet));
+            return;
+        }
+        if hops > MAX_HOPS {
+            self.verdict.violate(now, "routing", format!("{packet:?} goes round in circles"));
+            return;
+        }
+        let Some(process) = self.vms[vm].process.as_mut() else { return };
+        match process.router.route(now, &packet) {
+            Route::Target { service, target, .. } => {
+                self.arrive(vm, flow, generation, &packet, &service, &target);
+            }
+            Route::Peer { vm: next, header, .. } => {
+                let open = self.network.is_open(now, &self.vms[vm].id, &next);
+                if let Some(next) = self.find(&next).filter(|_| open) {
+                    let packet = FlowPacket { forwarded: Some(header), ..packet };
+                    self.receive_packet(next, flow, generation, packet, hops + 1);
+                }
+            }
+            Route::Drop(_) => {}
+        }
+    }
+
+    fn arrive(
+        &mut self,
+        vm: usize,
+        index: usize,
+        generation: u64,
+        packet: &FlowPacket,
+        service: &Name,
+        target: &Name,
+    ) {
+        let now = self.now;
+        let flow = &self.flows.flows[index];
+        let published = self.platform.targets.get(target);
+        if service.as_str() != SERVICES[flow.service]
+            || published.is_some_and(|published| published.service != *service)
+        {
+            self.verdict.misrouted += 1;
+            let text = format!("{:?} reached {target} of {service}", flow.key);
+            self.verdict.violate(now, "I2", text);
+            return;
+        }
+        // A late packet of an earlier use of the port changes nothing for the client.
+        if flow.generation != generation || flow.broken {
+            return;
+        }
+        match (&flow.target, packet.kind) {
+            (None, PacketKind::Syn) => self.accept_flow(vm, index, target),
+            (Some(known), PacketKind::Syn) if known != target => {
+                // A second SYN at another target opens nothing that the client uses.
+            }
+            (Some(known), _) if known != target => {
+                let text = format!("{:?} moved from {known} to {target}", flow.key);
+                self.break_flow(index, vm, &text);
+            }
+            _ => {}
+        }
+    }
+
+    fn accept_flow(&mut self, vm: usize, index: usize, target: &Name) {
+        let now = self.now;
+        let flow = &mut self.flows.flows[index];
+        flow.target = Some(target.clone());
+        flow.next_packet = now + Millis(5);
+        self.check_new_work(vm, target, "flow");
+    }
+
+    /// Checks I6 for new work at a target, through a VM that was able to learn of the drain.
+    pub(super) fn check_new_work(&mut self, vm: usize, target: &Name, kind: &str) {
+        let now = self.now;
+        let Some(published) = self.platform.targets.get(target) else { return };
+        let since = published.since.max(self.chaos.disturbed_until(vm));
+        if published.state == TargetState::Draining && now.since(since) > DRAIN_BOUND {
+            self.verdict.late_new_work += 1;
+            let text = format!("draining {target} got a new {kind} from {}", self.vms[vm].id);
+            self.verdict.violate(now, "I6", text);
+        }
+    }
+
+    fn break_flow(&mut self, index: usize, vm: usize, text: &str) {
+        let now = self.now;
+        let flow = &mut self.flows.flows[index];
+        flow.broken = true;
+        let data_centre = flow.data_centre;
+        let known = flow.target.clone();
+        let removed = known.is_some_and(|name| !self.platform.targets.contains_key(&name));
+        let deaths = self.flows.deaths.get(&data_centre);
+        let recent = |at: &&Millis| now.since(**at) < REPAIR_TIME;
+        let deaths = deaths.map_or(0, |deaths| deaths.iter().filter(recent).count());
+        let cut_until = self.flows.cut_until.get(&data_centre).copied().unwrap_or_default();
+        if removed {
+            self.verdict.broken_by_target += 1;
+        } else if deaths >= 2 {
+            self.verdict.broken_by_vm_loss += 1;
+        } else if now < cut_until + CUT_RECOVERY {
+            self.verdict.broken_by_cut += 1;
+        } else {
+            self.verdict.broken_by_plan += 1;
+            let text = format!("{text}, seen at {} after {deaths} deaths", self.vms[vm].id);
+            self.verdict.violate(now, "I1", text);
+        }
+    }
+}
+
+impl Flow {
+    // The same client port is used again, soon or late.
+    fn restart(&mut self, now: Millis, wait: Millis) {
+        self.target = None;
+        self.generation += 1;
+        self.broken = false;
+        self.next_packet = now + wait;
+        self.ends_at = now + wait + Millis::from_secs(30);
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-bench/src/faults/network.rs
@@ -0,0 +1,86 @@
+//! The simulated network: delay, loss, duplication and cuts.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use jasminecart_core::names::VmId;
+use jasminecart_core::process::VmHint;
+use jasminecart_core::request::{AttemptId, Outcome};
+use jasminecart_core::version::PlatformReply;
+use jasminecart_core::{Incarnation, Millis, PeerMessage};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+use super::requests::ClientRequestId;
+use super::targets::Arrival;
+
+/// The identity of a process: a VM and its start.
+pub(super) type ProcessId = (VmId, Incarnation);
+
+/// Something that arrives somewhere at a later time.
+#[derive(Clone, Debug)]
+pub(super) enum Event {
+    Peer { from: VmId, to: VmId, message: PeerMessage },
+    Platform { to: ProcessId, reply: PlatformReply },
+    VmList { to: ProcessId, list: Vec<VmHint> },
+    Target(Arrival),
+    RunEnds { target: jasminecart_core::Name, arrival: Arrival },
+    Outcome { to: ProcessId, attempt: AttemptId, outcome: Outcome },
+    Forwarded { to: VmId, from: ProcessId, request: ClientRequestId, deadline: Millis },
+}
+
+/// Events in the order of their time, and the cuts between VMs.
+#[derive(Debug, Default)]
+pub(super) struct Network {
+    queue: BinaryHeap<Reverse<(Millis, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next: u64,
+    /// Directed cuts and when they end.
+    cuts: BTreeMap<(VmId, VmId), Millis>,
+    pub(super) loss: f64,
+    pub(super) duplication: f64,
+    pub(super) last_cut_end: Millis,
+}
+
+impl Network {
+    /// Delivers an event at a time.
+    pub(super) fn at(&mut self, time: Millis, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((time, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    /// Sends a message between VMs, which may be lost, duplicated, delayed or cut.
+    pub(super) fn send(&mut self, now: Millis, rng: &mut ChaCha8Rng, event: Event) {
+        if rng.random_bool(self.loss) {
+            return;
+        }
+        if rng.random_bool(self.duplication) {
+            let delay = Millis(rng.random_range(1..200));
+            self.at(now + delay, event.clone());
+        }
+        let delay = Millis(rng.random_range(1..4));
+        self.at(now + delay, event);
+    }
+
+    /// Returns the next event that is due.
+    pub(super) fn next(&mut self, now: Millis) -> Option<Event> {
+        let Reverse((time, id)) = *self.queue.peek()?;
+        if time > now {
+            return None;
+        }
+        self.queue.pop();
+        self.events.remove(&id)
+    }
+
+    /// Cuts one direction between two VMs.
+    pub(super) fn cut(&mut self, from: &VmId, to: &VmId, until: Millis) {
+        self.cuts.insert((from.clone(), to.clone()), until);
+        self.last_cut_end = self.last_cut_end.max(until);
+    }
+
+    /// Tells whether packets pass from one VM to another.
+    pub(super) fn is_open(&self, now: Millis, from: &VmId, to: &VmId) -> bool {
+        self.cuts.get(&(from.clone(), to.clone())).is_none_or(|until| *until <= now)
+    }
+}
