Add the fabric, packet targets and feeds in user space

Every packet of a feed can come to any entry VM, so the first whole path to prove is a feed that stays open through a fabric that sprays, loses, duplicates and reorders. Feeds and targets run smoltcp; each answer names feed, question and target, so that a broken, crossed or moved feed is noticed.

The router is the first simple one, so the change leaves the targets as they are.

--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -290,13 +290,7 @@
         Ok(())
     }
 
-    fn send(
-        &mut self,
-        to: SocketAddr,
-        inner: usize,
-        end: usize,
-        forward: Option<&ForwardHeader>,
-    ) {
+    fn send(&mut self, to: SocketAddr, inner: usize, end: usize, forward: Option<&ForwardHeader>) {
         let Some(start) = gue::encapsulate(&mut self.buf[..end], inner, forward) else {
             self.counters.send_failed += 1;
             return;
--- a/crates/jasminecart-packet/tests/packet.rs
+++ b/crates/jasminecart-packet/tests/packet.rs
@@ -152,6 +152,8 @@
     names.sort_unstable();
     names.dedup();
     assert_eq!(names.len(), PacketError::ALL.len());
+    // The packet listener uses a reason as the index of its counter.
+    assert!(PacketError::ALL.iter().enumerate().all(|(index, error)| *error as usize == index));
 }
 
 #[test]
--- a/crates/jasminecart-standin/src/lib.rs
+++ b/crates/jasminecart-standin/src/lib.rs
@@ -1,1 +1,14 @@
-//! Under construction; see docs/design.md, section 5.
+//! Stand-ins for the systems around jasminecart, and the demo that runs all of them in one process.
+//!
+//! Each stand-in speaks the published protocol over loopback: the platform and request targets HTTP, packet
+//! targets and the network fabric GUE over UDP. Targets and clients record what they saw, and the figures of
+//! the demo come from these records. `docs/design.md`, section 14, lists the behaviours.
+
+pub mod errors;
+pub mod fabric;
+pub mod feeds;
+pub mod packet_target;
+pub mod stack;
+mod tunnel;
+
+pub use crate::errors::{Error, Result};
--- /dev/null
+++ b/crates/jasminecart-standin/tests/common/mod.rs
@@ -0,0 +1,226 @@
+//! Packet listeners, packet targets and feeds around a fabric, without the rest of the entry daemon.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use jasminecart_core::flow::{FlowLimits, Router};
+use jasminecart_core::process::{Member, MemberState, Members, PeerAddress};
+use jasminecart_core::version::{Document, Revision};
+use jasminecart_core::{Incarnation, Millis, Name, Outgoing, PeerMessage, VmId};
+use jasminecart_entry::clock::Clock;
+use jasminecart_entry::packet_listener::{
+    PacketCommand, PacketCounters, PacketListener, PacketListenerConfig,
+};
+use jasminecart_standin::fabric::{Fabric, FabricEntry, Impairments};
+use jasminecart_standin::feeds::{FeedCheck, Feeds, FeedsConfig};
+use jasminecart_standin::packet_target::{PacketTarget, PacketTargetConfig, PacketTargetCounts};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::task::AbortOnDropHandle;
+
+/// The service address of the feeds.
+pub(crate) const LEDGER: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 99, 0, 1), 443);
+const CLIENT: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 7);
+/// A lossy feed answers within a second; the bound only ends a run in which something broke.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+type Commands = Arc<Mutex<BTreeMap<VmId, mpsc::Sender<PacketCommand>>>>;
+
+struct Vm {
+    id: VmId,
+    clock: Clock,
+    listener: PacketListener,
+    state: MemberState,
+    _messages: AbortOnDropHandle<()>,
+}
+
+/// A data centre of packet listeners.
+pub(crate) struct World {
+    pub(crate) fabric: Fabric,
+    pub(crate) feeds: Feeds,
+    vms: Vec<Vm>,
+    commands: Commands,
+    targets: BTreeMap<Name, PacketTarget>,
+    revision: u64,
+    document: Option<Arc<Document>>,
+    seed: u64,
+}
+
+impl World {
+    pub(crate) async fn start(
+        seed: u64,
+        vms: usize,
+        targets: usize,
+        impairments: Impairments,
+    ) -> World {
+        let fabric = Fabric::start(impairments, seed).await.unwrap();
+        let config =
+            FeedsConfig { ip: CLIENT, service: LEDGER, fabric: fabric.client_side(), seed };
+        let feeds = Feeds::start(config).await.unwrap();
+        fabric.attach(CLIENT, feeds.address(), Name::new("dc"));
+        let mut world = World {
+            fabric,
+            feeds,
+            vms: Vec::new(),
+            commands: Commands::default(),
+            targets: BTreeMap::new(),
+            revision: 0,
+            document: None,
+            seed,
+        };
+        for number in 0..targets {
+            world.add_target(&format!("t{number}")).await;
+        }
+        for number in 0..vms {
+            world.add_vm(&format!("vm{number}"), MemberState::Active).await;
+        }
+        world
+    }
+
+    pub(crate) async fn add_target(&mut self, name: &str) {
+        let name = Name::new(name);
+        let config = PacketTargetConfig {
+            name: name.clone(),
+            services: vec![LEDGER],
+            fabric: self.fabric.target_side(),
+            seed: self.seed + self.targets.len() as u64,
+        };
+        self.targets.insert(name, PacketTarget::start(config).await.unwrap());
+    }
+
+    pub(crate) async fn add_vm(&mut self, name: &str, state: MemberState) {
+        let id = VmId::new("dc", name);
+        let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let config = PacketListenerConfig { packets: local, peer_packets: local };
+        let router = Router::new(id.clone(), self.seed, FlowLimits::default());
+        let (tx, rx) = mpsc::channel(1_024);
+        let clock = Clock::new();
+        let listener = PacketListener::start(config, clock, router, tx).await.unwrap();
+        self.commands.lock().unwrap().insert(id.clone(), listener.commands());
+        let task = tokio::spawn(deliver(id.clone(), rx, self.commands.clone()));
+        let _messages = AbortOnDropHandle::new(task);
+        self.vms.push(Vm { id, clock, listener, state, _messages });
+        if let Some(document) = self.document.clone() {
+            let document = PacketCommand::Document(document);
+            self.vms.last().unwrap().listener.commands().send(document).await.unwrap();
+        }
+        self.tell_members().await;
+        self.tell_fabric();
+    }
+
+    pub(crate) async fn set_state(&mut self, index: usize, state: MemberState) {
+        self.vms[index].state = state;
+        self.tell_members().await;
+    }
+
+    /// Ends a VM at once. The others keep it in their lists.
+    pub(crate) fn kill(&mut self, index: usize) {
+        let vm = self.vms.remove(index);
+        self.commands.lock().unwrap().remove(&vm.id);
+        self.tell_fabric();
+    }
+
+    /// Starts the planned stop of a VM and returns what it tells when all is handed over.
+    pub(crate) async fn leave(&mut self, index: usize) -> oneshot::Receiver<()> {
+        let (drained, rx) = oneshot::channel();
+        let commands = self.vms[index].listener.commands();
+        self.set_state(index, MemberState::Leaving).await;
+        commands.send(PacketCommand::Leave { drained }).await.unwrap();
+        rx
+    }
+
+    pub(crate) fn tell_fabric(&self) {
+        let entry = |vm: &Vm| FabricEntry {
+            data_centre: Name::new("dc"),
+            address: vm.listener.addresses().0,
+        };
+        self.fabric.set_entries(self.vms.iter().map(entry).collect());
+    }
+
+    /// Tells every VM of all, as heard from at this moment.
+    pub(crate) async fn tell_members(&self) {
+        for vm in &self.vms {
+            let list: Vec<Member> =
+                self.vms.iter().map(|other| self.member(other, vm.clock.now())).collect();
+            let members = Members::new(vm.id.clone(), list);
+            vm.listener.commands().send(PacketCommand::Members(members)).await.unwrap();
+        }
+    }
+
+    fn member(&self, vm: &Vm, heard_at: Millis) -> Member {
+        let (packets, peer_packets) = vm.listener.addresses();
+        Member {
+            vm: vm.id.clone(),
+            incarnation: Incarnation(1),
+            state: vm.state,
+            size: 1,
+            address: PeerAddress { control: packets, packets: peer_packets, requests: packets },
+            revision: Revision(self.revision),
+            heard_at,
+        }
+    }
+
+    /// Publishes a document with the given targets, of which some drain, to the VMs in turn.
+    pub(crate) async fn publish(&mut self, targets: &[&str], draining: &[&str], extra: &str) {
+        let document = self.next_document(targets, draining, extra);
+        for vm in &self.vms {
+            let command = PacketCommand::Document(document.clone());
+            vm.listener.commands().send(command).await.unwrap();
+        }
+        self.tell_members().await;
+    }
+
+    fn next_document(&mut self, targets: &[&str], draining: &[&str], extra: &str) -> Arc<Document> {
+        let mut text = format!("[service ledger]\naddress = {LEDGER}/tcp\n{extra}\n");
+        for name in targets {
+            let address = self.targets[*name].address();
+            text += &format!("[target {name}]\nservice = ledger\ndata_centre = dc\n");
+            text += &format!("address = {address}\npacket_port = {}\n", address.port());
+            if draining.contains(name) {
+                text += "state = draining\n";
+            }
+        }
+        self.revision += 1;
+        let document = Arc::new(Document::parse(Revision(self.revision), &text).unwrap());
+        self.document = Some(document.clone());
+        document
+    }
+
+    /// Lets time pass while the VMs hear from each other, as they do in a data centre without faults.
+    pub(crate) async fn pass(&self, span: Duration) {
+        let until = tokio::time::Instant::now() + span;
+        while tokio::time::Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            self.tell_members().await;
+        }
+    }
+
+    pub(crate) async fn check(&self) -> FeedCheck {
+        tokio::select! {
+            check = self.feeds.check(PATIENCE) => check.unwrap(),
+            () = self.pass(PATIENCE * 2) => panic!("the check does not end"),
+        }
+    }
+
+    pub(crate) async fn counters(&self, index: usize) -> PacketCounters {
+        let (reply, rx) = oneshot::channel();
+        let commands = self.vms[index].listener.commands();
+        commands.send(PacketCommand::Counters { reply }).await.unwrap();
+        rx.await.unwrap()
+    }
+
+    pub(crate) fn target_counts(&self, name: &str) -> PacketTargetCounts {
+        self.targets[name].counts()
+    }
+}
+
+async fn deliver(from: VmId, mut messages: mpsc::Receiver<Outgoing>, commands: Commands) {
+    while let Some(Outgoing { to, message }) = messages.recv().await {
+        let PeerMessage::Flow(message) = message else { continue };
+        let peer = commands.lock().unwrap().get(&to).cloned();
+        if let Some(peer) = peer {
+            let _ = peer.send(PacketCommand::Message { from: from.clone(), message }).await;
+        }
+    }
+}
