--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -96,7 +96,7 @@
     /// Messages to peers that were lost because the queue to the control actor was full.
     pub messages_lost: u64,
     /// The counts of the router.
-    pub flows: FlowCounters,
+    pub flow: FlowCounters,
 }
 
 /// A running packet listener. Dropping it ends its task and closes its sockets.
@@ -305,7 +305,7 @@
         let refused = PacketError::ALL.iter().zip(self.refused);
         PacketCounters {
             refused: refused.map(|(error, count)| (error.counter(), count)).collect(),
-            flows: self.router.counters().clone(),
+            flow: self.router.counters().clone(),
             ..self.counters.clone()
         }
     }
