Add the peer service and the clock of the entry daemon

Cause: the control layer needs a transport for the typed messages of the core, and the packet listener, written at the same time, needs the clock.

Change: jasminecart-peer with the tonic method Deliver, the postcard codec, bounded queues, reconnection with backoff and counters; Clock and an inert stand-in of the packet listener in jasminecart-entry.

--- a/crates/jasminecart-entry/src/lib.rs
+++ b/crates/jasminecart-entry/src/lib.rs
@@ -1,1 +1,4 @@
-//! Under construction; see docs/design.md, section 5.
+//! The entry daemon as a library.
+
+pub mod clock;
+pub mod packet_listener;
--- /dev/null
+++ b/crates/jasminecart-peer/src/incoming.rs
@@ -0,0 +1,94 @@
+//! Accepted connections with a bound on their number.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tonic::codegen::tokio_stream::Stream;
+use tonic::transport::server::Connected;
+
+use crate::counters::{Counters, add};
+
+/// The most connections from peers. A data centre has up to 105 members, and a peer may hold two
+/// connections while it replaces a silent one.
+const MAX_CONNECTIONS: usize = 512;
+
+/// Accepts connections and closes those above [`MAX_CONNECTIONS`] at once.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+    counters: Arc<Counters>,
+}
+
+impl Incoming {
+    pub(crate) fn new(listener: TcpListener, counters: Arc<Counters>) -> Incoming {
+        Incoming { listener, permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)), counters }
+    }
+}
+
+impl Stream for Incoming {
+    type Item = io::Result<Connection>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            let stream = match ready!(self.listener.poll_accept(cx)) {
+                Ok((stream, _)) => stream,
+                Err(e) => return Poll::Ready(Some(Err(e))),
+            };
+            match self.permits.clone().try_acquire_owned() {
+                Ok(permit) => {
+                    let nodelay = stream.set_nodelay(true);
+                    let connection = Connection { stream, _permit: permit };
+                    return Poll::Ready(Some(nodelay.map(|()| connection)));
+                }
+                Err(_) => add(&self.counters.received_too_many_connections, 1),
+            }
+        }
+    }
+}
+
+/// A connection that counts against the bound until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: TcpStream,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connected for Connection {
+    type ConnectInfo = ();
+
+    fn connect_info(&self) {}
+}
+
+impl AsyncRead for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-peer/src/links.rs
@@ -0,0 +1,316 @@
+//! The sending side of the peer service: one connection and one bounded queue for each other VM.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jasminecart_core::message::PeerMessage;
+use jasminecart_core::names::{Incarnation, VmId};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tonic::Code;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::backoff::Backoff;
+use crate::counters::{Counters, PeerCounters, add};
+use crate::envelope::{Envelope, MAX_ENVELOPE_BYTES, MAX_ENVELOPE_MESSAGES, PROTOCOL};
+use crate::peer_service::peer_client::PeerClient;
+
+/// Room in an envelope for everything but its messages: two names, numbers and lengths.
+const ENVELOPE_OVERHEAD_BYTES: usize = 512;
+/// The largest acknowledgement; it holds one number.
+const MAX_ACK_BYTES: usize = 64;
+
+/// Bounds and periods of the links to peers.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkLimits {
+    /// The most messages in the queue of a peer.
+    pub max_queued: usize,
+    /// The most bytes in the queue of a peer.
+    pub max_queued_bytes: usize,
+    /// How long a connection may take to open.
+    pub connect_within: Duration,
+    /// A connection on which a call takes longer is replaced.
+    pub progress_within: Duration,
+    /// The delay before the second attempt to connect.
+    pub first_backoff: Duration,
+    /// The longest delay between attempts to connect.
+    pub longest_backoff: Duration,
+}
+
+impl Default for LinkLimits {
+    fn default() -> Self {
+        LinkLimits {
+            max_queued: 1_024,
+            max_queued_bytes: 4 << 20,
+            connect_within: Duration::from_secs(1),
+            progress_within: Duration::from_secs(2),
+            first_backoff: Duration::from_millis(100),
+            longest_backoff: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The links to all peers. Dropping it stops its tasks.
+#[derive(Debug)]
+pub struct PeerLinks {
+    me: VmId,
+    incarnation: Incarnation,
+    limits: LinkLimits,
+    counters: Arc<Counters>,
+    links: BTreeMap<VmId, Link>,
+}
+
+impl PeerLinks {
+    /// Creates the links of one process.
+    pub fn new(me: VmId, incarnation: Incarnation, limits: LinkLimits) -> PeerLinks {
+        let counters = Arc::new(Counters::default());
+        PeerLinks { me, incarnation, limits, counters, links: BTreeMap::new() }
+    }
+
+    /// Queues a message for a peer at an address. A new address replaces the connection. The oldest
+    /// messages are dropped when the queue is full, because newer ones supersede them.
+    pub fn send(&mut self, to: &VmId, address: SocketAddr, message: PeerMessage) {
+        let size = postcard::experimental::serialized_size(&message).unwrap_or(usize::MAX);
+        if size > MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES {
+            return add(&self.counters.dropped_too_large, 1);
+        }
+        if self.links.get(to).is_some_and(|link| link.address != address) {
+            self.links.remove(to);
+        }
+        if !self.links.contains_key(to) {
+            let link = self.open(address);
+            self.links.insert(to.clone(), link);
+        }
+        if let Some(link) = self.links.get(to) {
+            link.queue.push(message, size, &self.limits, &self.counters);
+        }
+    }
+
+    /// Counts a message for a VM whose address is not known.
+    pub fn drop_unroutable(&self) {
+        add(&self.counters.dropped_no_peer, 1);
+    }
+
+    /// Closes the links to all peers that are not in `peers`.
+    pub fn retain(&mut self, peers: &BTreeSet<VmId>) {
+        self.links.retain(|vm, _| peers.contains(vm));
+    }
+
+    /// Tells whether nothing waits to be sent.
+    pub fn is_idle(&self) -> bool {
+        self.links.values().all(|link| link.queue.is_idle())
+    }
+
+    /// Returns the counts for metrics.
+    pub fn counters(&self) -> PeerCounters {
+        self.counters.read()
+    }
+
+    fn open(&self, address: SocketAddr) -> Link {
+        let queue = Arc::new(Queue::default());
+        let sender = Sender {
+            me: self.me.clone(),
+            incarnation: self.incarnation,
+            address,
+            limits: self.limits,
+            queue: queue.clone(),
+            counters: self.counters.clone(),
+        };
+        let task = tokio::spawn(sender.run());
+        Link { address, queue, counters: self.counters.clone(), task }
+    }
+}
+
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    queue: Arc<Queue>,
+    counters: Arc<Counters>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+        add(&self.counters.dropped_no_peer, self.queue.clear());
+    }
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    state: Mutex<QueueState>,
+    filled: Notify,
+}
+
+#[derive(Debug, Default)]
+struct QueueState {
+    messages: VecDeque<(usize, PeerMessage)>,
+    bytes: usize,
+    sending: bool,
+}
+
+impl QueueState {
+    fn pop(&mut self) -> Option<(usize, PeerMessage)> {
+        let (size, message) = self.messages.pop_front()?;
+        self.bytes -= size;
+        Some((size, message))
+    }
+}
+
+impl Queue {
+    fn with<T>(&self, f: impl FnOnce(&mut QueueState) -> T) -> T {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn push(&self, message: PeerMessage, size: usize, limits: &LinkLimits, counters: &Counters) {
+        self.with(|state| {
+            state.bytes += size;
+            state.messages.push_back((size, message));
+            while state.messages.len() > limits.max_queued || state.bytes > limits.max_queued_bytes
+            {
+                state.pop();
+                add(&counters.dropped_queue_full, 1);
+            }
+        });
+        self.filled.notify_one();
+    }
+
+    fn clear(&self) -> usize {
+        self.with(|state| std::mem::take(&mut state.messages).len())
+    }
+
+    fn is_idle(&self) -> bool {
+        self.with(|state| state.messages.is_empty() && !state.sending)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.with(|state| state.messages.is_empty())
+    }
+
+    /// Takes the messages of one envelope.
+    fn take(&self) -> (usize, Vec<PeerMessage>) {
+        self.with(|state| {
+            let (mut bytes, mut messages) = (0, Vec::new());
+            while let Some((size, _)) = state.messages.front() {
+                let full = bytes + size > MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES;
+                if full || messages.len() == MAX_ENVELOPE_MESSAGES {
+                    break;
+                }
+                let Some((size, message)) = state.pop() else { break };
+                bytes += size;
+                messages.push(message);
+            }
+            state.sending = !messages.is_empty();
+            (bytes, messages)
+        })
+    }
+}
+
+#[derive(Debug)]
+struct Sender {
+    me: VmId,
+    incarnation: Incarnation,
+    address: SocketAddr,
+    limits: LinkLimits,
+    queue: Arc<Queue>,
+    counters: Arc<Counters>,
+}
+
+impl Sender {
+    async fn run(self) {
+        loop {
+            while self.queue.is_empty() {
+                self.queue.filled.notified().await;
+            }
+            let client = self.connect().await;
+            self.deliver_all(client).await;
+        }
+    }
+
+    /// Connects with backoff. The queue keeps its messages meanwhile, up to its bounds.
+    async fn connect(&self) -> PeerClient<Channel> {
+        let mut backoff = Backoff::new(self.limits.first_backoff, self.limits.longest_backoff);
+        loop {
+            match self.try_connect().await {
+                Ok(channel) => {
+                    add(&self.counters.connected, 1);
+                    return PeerClient::new(channel)
+                        .max_encoding_message_size(MAX_ENVELOPE_BYTES)
+                        .max_decoding_message_size(MAX_ACK_BYTES);
+                }
+                Err(e) => {
+                    add(&self.counters.connect_failed, 1);
+                    let (address, reason) = (self.address.to_string(), e.to_string());
+                    log::debug!(event = "peer_connect_failed", address = address.as_str(), reason = reason.as_str(); "a peer cannot be reached");
+                }
+            }
+            tokio::time::sleep(backoff.next_delay()).await;
+        }
+    }
+
+    async fn try_connect(&self) -> Result<Channel, tonic::transport::Error> {
+        Endpoint::from_shared(format!("http://{}", self.address))?
+            .connect_timeout(self.limits.connect_within)
+            .tcp_nodelay(true)
+            .connect()
+            .await
+    }
+
+    /// Delivers messages until the connection has to be replaced. A channel would reconnect on its own,
+    /// but it would keep a connection that is open and silent, so it is dropped after every failed call.
+    async fn deliver_all(&self, mut client: PeerClient<Channel>) {
+        loop {
+            let (bytes, messages) = self.queue.take();
+            if messages.is_empty() {
+                self.queue.filled.notified().await;
+                continue;
+            }
+            let usable = self.deliver(&mut client, bytes, messages).await;
+            self.queue.with(|state| state.sending = false);
+            if !usable {
+                return;
+            }
+        }
+    }
+
+    async fn deliver(
+        &self,
+        client: &mut PeerClient<Channel>,
+        bytes: usize,
+        messages: Vec<PeerMessage>,
+    ) -> bool {
+        let count = messages.len();
+        let (from, incarnation) = (self.me.clone(), self.incarnation);
+        let envelope = Envelope { protocol: PROTOCOL, from, incarnation, messages };
+        let call = client.deliver(envelope);
+        let Ok(answer) = tokio::time::timeout(self.limits.progress_within, call).await else {
+            add(&self.counters.replaced_silent, 1);
+            add(&self.counters.dropped_in_doubt, count);
+            return false;
+        };
+        match answer.map(|response| response.into_inner()) {
+            Ok(Ok(_)) => {
+                add(&self.counters.sent_envelopes, 1);
+                add(&self.counters.sent_messages, count);
+                add(&self.counters.sent_bytes, bytes);
+                true
+            }
+            Err(status) if is_refusal(status.code()) => {
+                add(&self.counters.refused_by_peer, 1);
+                true
+            }
+            Ok(Err(_)) | Err(_) => {
+                add(&self.counters.replaced_failed, 1);
+                add(&self.counters.dropped_in_doubt, count);
+                false
+            }
+        }
+    }
+}
+
+/// Tells whether the peer answered that it did not take the envelope.
+fn is_refusal(code: Code) -> bool {
+    matches!(code, Code::ResourceExhausted | Code::FailedPrecondition | Code::InvalidArgument)
+}
