--- a/crates/jasminecart-entry/src/clock.rs
+++ b/crates/jasminecart-entry/src/clock.rs
@@ -1,22 +1,24 @@
-//! The clock of a process.
+//! The clock of an entry process.
 
 use std::time::Instant;
 
-use jasminecart_core::Millis;
+use jasminecart_core::time::Millis;
 
-/// The monotonic clock of one process, which the core receives as [`Millis`].
+/// A monotonic clock that counts from its creation. Every part of one entry process holds a copy of the
+/// same clock, so that instants can be compared.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
 
 impl Clock {
-    /// Creates a clock that starts at zero.
-    #[allow(clippy::new_without_default, reason = "a default value must not depend on the time")]
+    /// Starts a clock at zero.
+    #[allow(clippy::new_without_default)] // Two clocks are not interchangeable.
     pub fn new() -> Clock {
         Clock(Instant::now())
     }
 
-    /// Returns the time since the start.
+    /// Returns the time since the start of the clock.
     pub fn now(self) -> Millis {
-        Millis(u64::try_from(self.0.elapsed().as_millis()).unwrap_or(u64::MAX))
+        let millis = self.0.elapsed().as_millis();
+        Millis(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 }
