Add the platform, request targets, clients and their common record

The verdicts of the demo have to come from what targets ran and what clients were told. Targets and clients write to one record by operation and submission, and the verdicts follow from it alone. The platform can be unreachable or go back to an older revision; targets shed, are cold, lie about their health, and go silent on old connections.

--- a/crates/jasminecart-standin/src/lib.rs
+++ b/crates/jasminecart-standin/src/lib.rs
@@ -7,7 +7,12 @@
 pub mod errors;
 pub mod fabric;
 pub mod feeds;
+pub mod http_io;
 pub mod packet_target;
+pub mod platform;
+pub mod request_target;
+pub mod requests;
+pub mod run_log;
 pub mod stack;
 mod tunnel;
 
--- /dev/null
+++ b/crates/jasminecart-standin/tests/platform.rs
@@ -0,0 +1,84 @@
+//! Contract of the platform's protocol.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jasminecart_standin::http_io::{SendError, get};
+use jasminecart_standin::platform::{Platform, PlatformMode, PlatformVm};
+use test_case::test_case;
+
+async fn read(platform: &Platform, path: &str) -> (u16, Option<u64>, String) {
+    let answer = get(platform.address(), path).await.unwrap();
+    let revision = answer.parts.headers.get("revision");
+    let revision = revision.map(|value| value.to_str().unwrap().parse().unwrap());
+    let text = String::from_utf8(answer.body.to_vec()).unwrap();
+    (answer.parts.status.as_u16(), revision, text)
+}
+
+async fn with_documents() -> Platform {
+    let platform = Platform::start().await.unwrap();
+    platform.publish("first");
+    platform.publish("second");
+    platform
+}
+
+#[test_case("/v1/document", 200, Some(2), "second"; "read")]
+#[test_case("/v1/document?after=1&wait_ms=1", 200, Some(2), "second"; "a watch behind is answered at once")]
+#[test_case("/v1/document?after=2&wait_ms=1", 304, None, ""; "a watch without change ends")]
+#[test_case("/v1/vms", 200, None, "[]"; "list of VMs")]
+#[test_case("/v1/else", 404, None, ""; "unknown path")]
+#[tokio::test]
+async fn reads_are_answered(path: &str, status: u16, revision: Option<u64>, text: &str) {
+    let platform = with_documents().await;
+    assert_eq!(read(&platform, path).await, (status, revision, text.to_owned()));
+}
+
+#[tokio::test]
+async fn a_watch_ends_with_the_publication() {
+    let platform = with_documents().await;
+    let (answer, ()) = tokio::join!(read(&platform, "/v1/document?after=2&wait_ms=30000"), async {
+        while platform.counts().watches == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        platform.publish("third");
+    });
+    assert_eq!(answer, (200, Some(3), "third".to_owned()));
+}
+
+#[tokio::test]
+async fn an_outage_breaks_reads_and_waiting_watches() {
+    let platform = with_documents().await;
+    let (watch, ()) =
+        tokio::join!(get(platform.address(), "/v1/document?after=2&wait_ms=30000"), async {
+            while platform.counts().watches == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            platform.set_mode(PlatformMode::Unreachable);
+        });
+    assert_eq!(watch.err(), Some(SendError::Broken));
+    assert!(get(platform.address(), "/v1/document").await.is_err());
+    platform.set_mode(PlatformMode::Current);
+    assert_eq!(read(&platform, "/v1/document").await.1, Some(2));
+}
+
+#[tokio::test]
+async fn a_platform_that_went_back_offers_the_old_document_and_list() {
+    let platform = Platform::start().await.unwrap();
+    platform.publish("first");
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    platform.set_vms(vec![PlatformVm {
+        data_centre: "dc".to_owned(),
+        name: "vm".to_owned(),
+        control: address,
+        packets: address,
+        requests: address,
+        leaving: false,
+    }]);
+    platform.publish("second");
+    assert!(read(&platform, "/v1/vms").await.2.contains("\"control\":\"127.0.0.1:1\""));
+    platform.set_mode(PlatformMode::Behind { revision: 1 });
+    assert_eq!(read(&platform, "/v1/document").await.1, Some(1));
+    assert_eq!(read(&platform, "/v1/vms").await.2, "[]");
+    // A watch for anything newer than the newest revision must not be answered with an old one.
+    assert_eq!(read(&platform, "/v1/document?after=2&wait_ms=1").await.0, 304);
+}
