Test feeds through planned changes and a killed entry VM

The router now keeps open flows on their targets, which only a run through sockets, a lossy fabric and several VMs can confirm. Cases: a target is added, drains or is removed, a VM joins, is replaced or is killed, and a document reaches the VMs 2 s apart. The contract of the packet listener is tested from its sockets.

--- a/crates/jasminecart-standin/tests/common/mod.rs
+++ b/crates/jasminecart-standin/tests/common/mod.rs
@@ -32,6 +32,7 @@
     clock: Clock,
     listener: PacketListener,
     state: MemberState,
+    revision: Revision,
     _messages: AbortOnDropHandle<()>,
 }
 
@@ -39,7 +40,11 @@
 pub(crate) struct World {
     pub(crate) fabric: Fabric,
     pub(crate) feeds: Feeds,
+    /// Feeds opened in all.
+    pub(crate) opened: usize,
     vms: Vec<Vm>,
+    /// Killed VMs as the others list them.
+    gone: Vec<Member>,
     commands: Commands,
     targets: BTreeMap<Name, PacketTarget>,
     revision: u64,
@@ -62,7 +67,9 @@
         let mut world = World {
             fabric,
             feeds,
+            opened: 0,
             vms: Vec::new(),
+            gone: Vec::new(),
             commands: Commands::default(),
             targets: BTreeMap::new(),
             revision: 0,
@@ -100,7 +107,8 @@
         self.commands.lock().unwrap().insert(id.clone(), listener.commands());
         let task = tokio::spawn(deliver(id.clone(), rx, self.commands.clone()));
         let _messages = AbortOnDropHandle::new(task);
-        self.vms.push(Vm { id, clock, listener, state, _messages });
+        let revision = Revision(self.revision);
+        self.vms.push(Vm { id, clock, listener, state, revision, _messages });
         if let Some(document) = self.document.clone() {
             let document = PacketCommand::Document(document);
             self.vms.last().unwrap().listener.commands().send(document).await.unwrap();
@@ -114,13 +122,25 @@
         self.tell_members().await;
     }
 
-    /// Ends a VM at once. The others keep it in their lists.
+    /// Ends a VM at once. The others list it as it was until [`World::bury`].
     pub(crate) fn kill(&mut self, index: usize) {
         let vm = self.vms.remove(index);
+        self.gone.push(self.member(&vm, vm.clock.now()));
         self.commands.lock().unwrap().remove(&vm.id);
         self.tell_fabric();
     }
 
+    /// Lets the VMs learn that the killed ones are dead.
+    pub(crate) async fn bury(&mut self) {
+        self.gone.iter_mut().for_each(|member| member.state = MemberState::Dead);
+        self.tell_members().await;
+    }
+
+    pub(crate) async fn open(&mut self, feeds: usize) {
+        self.opened += feeds;
+        self.feeds.open(feeds).await.unwrap();
+    }
+
     /// Starts the planned stop of a VM and returns what it tells when all is handed over.
     pub(crate) async fn leave(&mut self, index: usize) -> oneshot::Receiver<()> {
         let (drained, rx) = oneshot::channel();
@@ -141,8 +161,9 @@
     /// Tells every VM of all, as heard from at this moment.
     pub(crate) async fn tell_members(&self) {
         for vm in &self.vms {
-            let list: Vec<Member> =
-                self.vms.iter().map(|other| self.member(other, vm.clock.now())).collect();
+            let alive = self.vms.iter().map(|other| self.member(other, vm.clock.now()));
+            let mut list: Vec<Member> = alive.chain(self.gone.iter().cloned()).collect();
+            list.sort_by(|a, b| a.vm.cmp(&b.vm));
             let members = Members::new(vm.id.clone(), list);
             vm.listener.commands().send(PacketCommand::Members(members)).await.unwrap();
         }
@@ -156,17 +177,30 @@
             state: vm.state,
             size: 1,
             address: PeerAddress { control: packets, packets: peer_packets, requests: packets },
-            revision: Revision(self.revision),
+            revision: vm.revision,
             heard_at,
         }
     }
 
     /// Publishes a document with the given targets, of which some drain, to the VMs in turn.
     pub(crate) async fn publish(&mut self, targets: &[&str], draining: &[&str], extra: &str) {
+        self.publish_slowly(targets, draining, extra, Duration::ZERO).await;
+    }
+
+    /// Publishes a document with the given pause between two VMs.
+    pub(crate) async fn publish_slowly(
+        &mut self,
+        targets: &[&str],
+        draining: &[&str],
+        extra: &str,
+        pause: Duration,
+    ) {
         let document = self.next_document(targets, draining, extra);
-        for vm in &self.vms {
+        for index in 0..self.vms.len() {
             let command = PacketCommand::Document(document.clone());
-            vm.listener.commands().send(command).await.unwrap();
+            self.vms[index].listener.commands().send(command).await.unwrap();
+            self.vms[index].revision = document.revision();
+            self.pass(pause).await;
         }
         self.tell_members().await;
     }
--- /dev/null
+++ b/crates/jasminecart-standin/tests/listener.rs
@@ -0,0 +1,144 @@
+//! Contract of the packet listener, seen from its sockets.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use jasminecart_core::flow::{FlowKey, FlowLimits, ForwardHeader, Router};
+use jasminecart_core::version::{Document, Protocol, Revision};
+use jasminecart_core::{Name, VmId};
+use jasminecart_entry::clock::Clock;
+use jasminecart_entry::packet_listener::{
+    PacketCommand, PacketCounters, PacketListener, PacketListenerConfig,
+};
+use jasminecart_packet::gue::{self, HEADROOM, MAX_INNER_BYTES};
+use test_case::test_case;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+
+const TTL_AT: usize = 8;
+
+/// An IPv4 packet with a UDP datagram from a client to 10.99.0.1:443.
+fn datagram(bytes: usize, ttl: u8) -> Vec<u8> {
+    let mut packet = vec![0; bytes];
+    packet[0] = 0x45;
+    packet[2..4].copy_from_slice(&(bytes as u16).to_be_bytes());
+    packet[TTL_AT] = ttl;
+    packet[9] = 17;
+    packet[12..20].copy_from_slice(&[192, 0, 2, 7, 10, 99, 0, 1]);
+    packet[20..24].copy_from_slice(&[0x9c, 0x40, 0x01, 0xbb]);
+    packet[24..26].copy_from_slice(&((bytes - 20) as u16).to_be_bytes());
+    packet
+}
+
+fn encapsulated(packet: &[u8], forward: Option<&ForwardHeader>) -> Vec<u8> {
+    let mut buf = vec![0; HEADROOM];
+    buf.extend_from_slice(packet);
+    let start = gue::encapsulate(&mut buf, HEADROOM, forward).unwrap();
+    buf.split_off(start)
+}
+
+struct World {
+    listener: PacketListener,
+    target: UdpSocket,
+    sender: UdpSocket,
+}
+
+impl World {
+    async fn start() -> World {
+        let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let target = UdpSocket::bind(local).await.unwrap();
+        let sender = UdpSocket::bind(local).await.unwrap();
+        let config = PacketListenerConfig { packets: local, peer_packets: local };
+        let router = Router::new(VmId::new("dc", "vm"), 1, FlowLimits::default());
+        let (outgoing, _) = mpsc::channel(16);
+        let listener = PacketListener::start(config, Clock::new(), router, outgoing).await.unwrap();
+        let address = target.local_addr().unwrap();
+        let text = format!(
+            "[service s]\naddress = 10.99.0.1:443/udp\n[target t]\nservice = s\ndata_centre = dc\n\
+             address = {address}\npacket_port = {}\n",
+            address.port()
+        );
+        let document = Arc::new(Document::parse(Revision(1), &text).unwrap());
+        listener.commands().send(PacketCommand::Document(document)).await.unwrap();
+        World { listener, target, sender }
+    }
+
+    async fn send(&self, to_peer_socket: bool, datagram: &[u8]) {
+        let (packets, peer_packets) = self.listener.addresses();
+        let to = if to_peer_socket { peer_packets } else { packets };
+        self.sender.send_to(datagram, to).await.unwrap();
+    }
+
+    /// Returns the counts after this many datagrams.
+    async fn counters(&self, datagrams: u64) -> PacketCounters {
+        loop {
+            let (reply, rx) = oneshot::channel();
+            let command = PacketCommand::Counters { reply };
+            self.listener.commands().send(command).await.unwrap();
+            let counters = rx.await.unwrap();
+            if counters.from_fabric + counters.from_peers >= datagrams {
+                return counters;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
+#[test_case(false; "from the fabric")]
+#[test_case(true; "from another entry VM")]
+#[tokio::test]
+async fn a_packet_reaches_the_target_without_a_forward_header(from_peer: bool) {
+    let world = World::start().await;
+    let forward = ForwardHeader { hops: 1, entry: 1, target: 0, record: false };
+    let sent = encapsulated(&datagram(100, 64), from_peer.then_some(&forward));
+    world.send(from_peer, &sent).await;
+    let mut buf = [0; 2_048];
+    let bytes = world.target.recv(&mut buf).await.unwrap();
+    let mut expected = encapsulated(&datagram(100, 63), None);
+    // The checksum of the sent header is 0, and it grows by the step of the TTL.
+    expected[4 + 10] = 1;
+    assert_eq!(&buf[..bytes], expected);
+}
+
+// Guards against a client that gives orders to the router, and against drops that nobody sees.
+#[test_case(false, &encapsulated(&datagram(100, 64), Some(&ForwardHeader::default())), "forward_header_from_client"; "forward header from a client")]
+#[test_case(true, &encapsulated(&datagram(100, 64), None), "forward_header_missing"; "client packet on the peer socket")]
+#[test_case(false, &encapsulated(&datagram(100, 1), None), "ttl_expired"; "TTL expired")]
+#[test_case(false, &encapsulated(&datagram(MAX_INNER_BYTES + 1, 64), None), "too_large"; "too large for the MTU")]
+#[test_case(false, b"", "gue_truncated"; "empty datagram")]
+#[tokio::test]
+async fn a_bad_datagram_is_counted_and_the_next_one_is_served(
+    to_peer_socket: bool,
+    bad: &[u8],
+    counter: &str,
+) {
+    let world = World::start().await;
+    world.send(to_peer_socket, bad).await;
+    world.send(false, &encapsulated(&datagram(MAX_INNER_BYTES, 64), None)).await;
+    world.target.recv(&mut [0; 2_048]).await.unwrap();
+    let counters = world.counters(2).await;
+    let refused: Vec<_> = counters.refused.iter().filter(|(_, count)| **count > 0).collect();
+    assert_eq!(refused, [(&counter, &1)]);
+}
+
+#[tokio::test]
+async fn an_explanation_names_the_target() {
+    let world = World::start().await;
+    let (reply, rx) = oneshot::channel();
+    let key = FlowKey {
+        protocol: Protocol::Udp,
+        source: "192.0.2.7:40000".parse().unwrap(),
+        destination: "10.99.0.1:443".parse().unwrap(),
+    };
+    world.listener.commands().send(PacketCommand::Explain { key, reply }).await.unwrap();
+    assert_eq!(rx.await.unwrap().target, Some(Name::new("t")));
+}
+
+#[tokio::test]
+async fn dropping_the_listener_ends_its_task() {
+    let world = World::start().await;
+    let commands = world.listener.commands();
+    drop(world);
+    commands.closed().await;
+}
