--- a/crates/jasminecart-core/src/flow/router.rs
+++ b/crates/jasminecart-core/src/flow/router.rs
@@ -87,7 +87,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct FlowCounters {
     /// Packets sent to targets.
     pub to_targets: u64,
--- a/crates/jasminecart-core/src/process/membership.rs
+++ b/crates/jasminecart-core/src/process/membership.rs
@@ -40,7 +40,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct MemberCounters {
     /// Messages received.
     pub received: u64,
--- a/crates/jasminecart-core/src/request/types.rs
+++ b/crates/jasminecart-core/src/request/types.rs
@@ -257,7 +257,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct DispatchCounters {
     /// Requests submitted.
     pub submitted: u64,
--- a/crates/jasminecart-core/src/version/adoption.rs
+++ b/crates/jasminecart-core/src/version/adoption.rs
@@ -100,7 +100,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct AdoptionCounters {
     /// Documents put into force.
     pub adopted: u64,
--- /dev/null
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -0,0 +1,527 @@
+//! The actor itself.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use jasminecart_core::invariant;
+use jasminecart_core::message::{Outgoing, PeerMessage};
+use jasminecart_core::names::{Incarnation, VmId};
+use jasminecart_core::process::{Event, Members, Membership};
+use jasminecart_core::request::{
+    Action, AttemptId, Dispatcher, IssuedKey, NotRunCause, Outcome, Refusal, RefusalReason,
+    RequestExplanation, RequestId, RunState,
+};
+use jasminecart_core::time::Millis;
+use jasminecart_core::version::{Adoption, AdoptionAlert, Document, Revision, Step};
+use tokio::sync::{mpsc, oneshot};
+use xtra::{Context, Handler};
+
+use super::peers::Peers;
+use super::status::{Counts, DocumentStatus, MemberStatus, MembersByState, Status};
+use super::{
+    AttemptEnded, CancelRequest, Directive, Documents, ExplainService, FromPeer, FromPlatform,
+    GetCounts, GetStatus, IsDrained, IssueKey, Leave, RequestEnded, Start, Submit, Tick, ToPeer,
+    VmList,
+};
+use crate::clock::Clock;
+use crate::metrics::{Metrics, count};
+use crate::packet_listener::PacketCommand;
+use crate::platform::Platform;
+
+/// A gap between two ticks that is longer than this is logged as a pause of the process.
+const PAUSE: Millis = Millis(1_000);
+
+/// What the actor is made of.
+#[derive(Debug)]
+pub(crate) struct ControlParts {
+    pub(crate) me: VmId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) adoption: Adoption,
+    pub(crate) membership: Membership,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) seeds: Vec<jasminecart_core::process::VmHint>,
+    pub(crate) platform: Platform,
+    pub(crate) packets: mpsc::Sender<PacketCommand>,
+    pub(crate) documents: Documents,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) stop_within: Millis,
+}
+
+/// Owns `Adoption`, `Membership` and `Dispatcher`, and carries out what they return.
+#[derive(Debug, xtra::Actor)]
+pub(crate) struct ControlActor {
+    parts: ControlParts,
+    vm: String,
+    peers: Peers,
+    requests: HashMap<RequestId, mpsc::UnboundedSender<Directive>>,
+    attempts: HashMap<AttemptId, RequestId>,
+    /// The newest document and members that the packet task has not taken yet.
+    unsent_document: Option<Arc<Document>>,
+    unsent_members: Option<Members>,
+    packets_drained: Option<oneshot::Receiver<()>>,
+    unsent_leave: Option<oneshot::Sender<()>>,
+    ready: bool,
+    leaving: bool,
+    last_tick: Millis,
+}
+
+impl ControlActor {
+    pub(crate) fn new(parts: ControlParts) -> ControlActor {
+        let peers = Peers::new(parts.me.clone(), parts.incarnation, &parts.seeds);
+        ControlActor {
+            vm: parts.me.to_string(),
+            peers,
+            requests: HashMap::new(),
+            attempts: HashMap::new(),
+            unsent_document: None,
+            unsent_members: None,
+            packets_drained: None,
+            unsent_leave: None,
+            ready: false,
+            leaving: false,
+            last_tick: parts.clock.now(),
+            parts,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.parts.clock.now()
+    }
+
+    fn revision(&self) -> Revision {
+        self.parts.adoption.current().map_or(Revision(0), |document| document.revision())
+    }
+
+    fn take_steps(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Adopt(document) => self.adopt(&document),
+                Step::ReadPlatform => self.parts.platform.read(),
+                Step::Watch { after } => self.parts.platform.watch(after),
+                Step::StopWatch => self.parts.platform.stop_watch(),
+                Step::Message(outgoing) => self.peers.send(outgoing),
+                Step::Alert(alert) => self.alert(&alert),
+            }
+        }
+    }
+
+    fn adopt(&mut self, document: &Arc<Document>) {
+        let previous = self.parts.documents.borrow().as_ref().map(|document| document.revision());
+        let newer = previous.is_none_or(|previous| previous < document.revision());
+        invariant!(newer, "revision {} replaced {previous:?}", document.revision());
+        let now = self.now();
+        self.parts.membership.set_revision(document.revision());
+        self.parts.documents.send_replace(Some(document.clone()));
+        self.unsent_document = Some(document.clone());
+        self.flush_packets();
+        let actions = self.parts.dispatcher.set_document(now, document);
+        self.take_actions(actions);
+        let (revision, digest) = (document.revision().0, document.digest().to_string());
+        log::info!(event = "document_adopted", vm = self.vm.as_str(), revision = revision, digest = digest.as_str(); "a document came into force");
+        self.check_stop_bound(document);
+    }
+
+    /// A planned stop waits for the longest deadline of the document, even when the settings say less, so
+    /// that the bound itself cuts off no request. The operator is told.
+    fn check_stop_bound(&self, document: &Document) {
+        let longest = longest_deadline(document);
+        if longest > self.parts.stop_within {
+            let (revision, bound) = (document.revision().0, self.parts.stop_within.get());
+            log::warn!(event = "stop_bound_short", vm = self.vm.as_str(), revision = revision, stop_within_ms = bound, longest_deadline_ms = longest.get(); "stop_within is below the longest deadline of a class; a planned stop may take up to that deadline");
+        }
+    }
+
+    fn alert(&mut self, alert: &AdoptionAlert) {
+        count(&self.parts.metrics.counters.adoption_alerts);
+        let (vm, ours) = (self.vm.as_str(), self.revision().0);
+        match alert {
+            AdoptionAlert::DigestConflict { revision, ours, theirs } => {
+                let (ours, theirs) = (ours.to_string(), theirs.to_string());
+                log::error!(event = "document_digest_conflict", vm = vm, revision = revision.0, ours = ours.as_str(), theirs = theirs.as_str(); "the same revision exists with different bytes; the one in force stays");
+            }
+            AdoptionAlert::Invalid { revision, errors } => {
+                let problems: Vec<String> =
+                    errors.problems.iter().map(ToString::to_string).collect();
+                let problems = problems.join("; ");
+                log::error!(event = "document_invalid", vm = vm, revision = revision.0, in_force = ours, problems = problems.as_str(); "a published document was refused; the one in force stays");
+            }
+            AdoptionAlert::Reverted { ours, theirs } => {
+                log::warn!(event = "platform_reverted", vm = vm, in_force = ours.0, revision = theirs.0; "the platform returned a lower revision than the one in force, which stays");
+            }
+        }
+    }
+
+    fn take_events(&mut self, events: Vec<Event>) {
+        for event in events {
+            if let Event::Changed(members) = event {
+                self.set_members(&members);
+            } else if let Event::Message(outgoing) = event {
+                self.peers.send(outgoing);
+            } else {
+                let finding = format!("{event:?}");
+                log::info!(event = "member_event", vm = self.vm.as_str(), finding = finding.as_str(); "membership reported a finding");
+            }
+        }
+    }
+
+    fn set_members(&mut self, members: &Members) {
+        let now = self.now();
+        self.peers.set_members(members);
+        self.unsent_members = Some(members.clone());
+        self.flush_packets();
+        let steps = self.parts.adoption.set_members(now, members);
+        let actions = self.parts.dispatcher.set_members(now, members);
+        self.take_steps(steps);
+        self.take_actions(actions);
+    }
+
+    fn take_actions(&mut self, actions: Vec<Action>) {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Message(outgoing) => self.peers.send(outgoing),
+                Action::Send { request, attempt, target, address, deadline } => {
+                    self.attempts.insert(attempt, request);
+                    let directive = Directive::Send { attempt, target, address, deadline };
+                    if !self.direct(request, directive) {
+                        self.attempts.remove(&attempt);
+                        actions.extend(self.not_sent(request, attempt));
+                    }
+                }
+                Action::Refuse { request, refusal } => {
+                    self.direct(request, Directive::Refuse(refusal));
+                }
+                Action::Forward { request, vm, address } => {
+                    self.direct(request, Directive::Forward { vm, address });
+                }
+                Action::Cancel { attempt } => {
+                    if let Some(request) = self.attempts.get(&attempt).copied() {
+                        self.direct(request, Directive::Cancel { attempt });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes a directive to a request and tells whether the request is still in progress.
+    fn direct(&self, request: RequestId, directive: Directive) -> bool {
+        self.requests.get(&request).is_some_and(|directives| directives.send(directive).is_ok())
+    }
+
+    /// Withdraws an attempt whose request has ended. The request is cancelled first, so that the target
+    /// is not blamed and no further attempt follows.
+    fn not_sent(&mut self, request: RequestId, attempt: AttemptId) -> Vec<Action> {
+        let now = self.now();
+        let mut actions = self.parts.dispatcher.on_cancel(now, request);
+        let not_sent = Outcome::NotRun(NotRunCause::NotSent);
+        actions.extend(self.parts.dispatcher.on_outcome(now, attempt, not_sent));
+        actions
+    }
+
+    fn take_message(&mut self, from: &VmId, message: PeerMessage) {
+        let now = self.now();
+        match message {
+            PeerMessage::Flow(message) => {
+                let command = PacketCommand::Message { from: from.clone(), message };
+                if self.parts.packets.try_send(command).is_err() {
+                    count(&self.parts.metrics.counters.packet_commands_dropped);
+                }
+            }
+            PeerMessage::Request(message) => {
+                let actions = self.parts.dispatcher.on_message(now, from, message);
+                self.take_actions(actions);
+            }
+            PeerMessage::Document(message) => {
+                let steps = self.parts.adoption.on_message(now, from, message);
+                self.take_steps(steps);
+            }
+            PeerMessage::Member(message) => {
+                let events = self.parts.membership.on_message(now, from, message);
+                self.take_events(events);
+            }
+        }
+    }
+
+    /// Hands the packet task the newest document and members. When its queue is full, the next tick tries
+    /// again; only the newest of each matters.
+    fn flush_packets(&mut self) {
+        if let Some(document) = self.unsent_document.take() {
+            let command = PacketCommand::Document(document);
+            if let Err(PacketCommand::Document(document)) = self.offer(command) {
+                self.unsent_document = Some(document);
+            }
+        }
+        if let Some(members) = self.unsent_members.take() {
+            let command = PacketCommand::Members(members);
+            if let Err(PacketCommand::Members(members)) = self.offer(command) {
+                self.unsent_members = Some(members);
+            }
+        }
+        if let Some(drained) = self.unsent_leave.take() {
+            let command = PacketCommand::Leave { drained };
+            if let Err(PacketCommand::Leave { drained }) = self.offer(command) {
+                self.unsent_leave = Some(drained);
+            }
+        }
+    }
+
+    #[allow(clippy::result_large_err)] // The command goes back to its caller and no further.
+    fn offer(&self, command: PacketCommand) -> Result<(), PacketCommand> {
+        self.parts.packets.try_send(command).map_err(mpsc::error::TrySendError::into_inner)
+    }
+
+    fn note_pause(&mut self, now: Millis) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap > PAUSE {
+            count(&self.parts.metrics.counters.control_pauses);
+            log::warn!(event = "process_paused", vm = self.vm.as_str(), pause_ms = gap.get(); "the control loop was paused");
+        }
+    }
+
+    fn note_ready(&mut self) {
+        let ready = self.parts.adoption.is_ready() && !self.leaving;
+        if ready != self.ready {
+            self.ready = ready;
+            let revision = self.revision().0;
+            log::info!(event = "readiness_changed", vm = self.vm.as_str(), ready = ready, revision = revision; "readiness changed");
+        }
+    }
+}
+
+/// Returns the longest deadline that a request can have.
+pub(crate) fn longest_deadline(document: &Document) -> Millis {
+    let deadlines = document.classes().values().map(|class| class.default_deadline);
+    deadlines.max().unwrap_or(Millis::ZERO)
+}
+
+impl Handler<Submit> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, submit: Submit, _cx: &mut Context<Self>) {
+        if !self.parts.adoption.is_ready() {
+            let refusal = Refusal { state: RunState::NotRun, reason: RefusalReason::NotReady };
+            let _ = submit.directives.send(Directive::Refuse(refusal));
+            return;
+        }
+        let now = self.now();
+        self.requests.insert(submit.meta.id, submit.directives);
+        // `submit.forwarded` is for a dispatcher that treats forwarded requests differently.
+        let actions = self.parts.dispatcher.submit(now, submit.meta);
+        self.take_actions(actions);
+    }
+}
+
+impl Handler<AttemptEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: AttemptEnded, _cx: &mut Context<Self>) {
+        self.attempts.remove(&ended.attempt);
+        let now = self.now();
+        let actions = self.parts.dispatcher.on_outcome(now, ended.attempt, ended.outcome);
+        self.take_actions(actions);
+    }
+}
+
+impl Handler<CancelRequest> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, cancel: CancelRequest, _cx: &mut Context<Self>) {
+        let now = self.now();
+        let actions = self.parts.dispatcher.on_cancel(now, cancel.0);
+        self.take_actions(actions);
+    }
+}
+
+impl Handler<RequestEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: RequestEnded, _cx: &mut Context<Self>) {
+        self.requests.remove(&ended.0);
+    }
+}
+
+impl Handler<IssueKey> for ControlActor {
+    type Return = Option<IssuedKey>;
+
+    async fn handle(&mut self, _: IssueKey, _cx: &mut Context<Self>) -> Option<IssuedKey> {
+        let now = self.now();
+        self.ready.then(|| self.parts.dispatcher.issue_key(now))
+    }
+}
+
+impl Handler<FromPeer> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, from_peer: FromPeer, _cx: &mut Context<Self>) {
+        let delivered = from_peer.0;
+        if delivered.from == self.parts.me {
+            count(&self.parts.metrics.counters.messages_from_self);
+            return;
+        }
+        for message in delivered.messages {
+            self.take_message(&delivered.from, message);
+        }
+    }
+}
+
+impl Handler<ToPeer> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, to_peer: ToPeer, _cx: &mut Context<Self>) {
+        let outgoing: Outgoing = to_peer.0;
+        self.peers.send(outgoing);
+    }
+}
+
+impl Handler<FromPlatform> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, from_platform: FromPlatform, _cx: &mut Context<Self>) {
+        let now = self.now();
+        let steps = self.parts.adoption.on_platform(now, from_platform.0);
+        self.take_steps(steps);
+        self.note_ready();
+    }
+}
+
+impl Handler<VmList> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, list: VmList, _cx: &mut Context<Self>) {
+        let now = self.now();
+        self.peers.set_listed(&list.0);
+        let events = self.parts.membership.on_vm_list(now, &list.0);
+        self.take_events(events);
+    }
+}
+
+impl Handler<Start> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Start, _cx: &mut Context<Self>) {
+        let now = self.now();
+        let members = self.parts.membership.members().clone();
+        self.set_members(&members);
+        let steps = self.parts.adoption.start(now);
+        self.take_steps(steps);
+    }
+}
+
+impl Handler<Tick> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _cx: &mut Context<Self>) {
+        let now = self.now();
+        self.note_pause(now);
+        let events = self.parts.membership.tick(now);
+        self.take_events(events);
+        let steps = self.parts.adoption.tick(now);
+        self.take_steps(steps);
+        let actions = self.parts.dispatcher.tick(now);
+        self.take_actions(actions);
+        self.flush_packets();
+        self.note_ready();
+    }
+}
+
+impl Handler<Leave> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Leave, _cx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        let now = self.now();
+        self.note_ready();
+        let events = self.parts.membership.leave(now);
+        self.take_events(events);
+        let actions = self.parts.dispatcher.leave(now);
+        self.take_actions(actions);
+        let (drained, receiver) = oneshot::channel();
+        self.unsent_leave = Some(drained);
+        self.packets_drained = Some(receiver);
+        self.flush_packets();
+    }
+}
+
+impl Handler<IsDrained> for ControlActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _: IsDrained, _cx: &mut Context<Self>) -> bool {
+        if let Some(drained) = &mut self.packets_drained {
+            match drained.try_recv() {
+                Err(oneshot::error::TryRecvError::Empty) => return false,
+                Ok(()) | Err(oneshot::error::TryRecvError::Closed) => self.packets_drained = None,
+            }
+        }
+        self.requests.is_empty() && self.parts.dispatcher.is_drained() && self.peers.is_idle()
+    }
+}
+
+impl Handler<ExplainService> for ControlActor {
+    type Return = RequestExplanation;
+
+    async fn handle(
+        &mut self,
+        explain: ExplainService,
+        _cx: &mut Context<Self>,
+    ) -> RequestExplanation {
+        let now = self.now();
+        self.parts.dispatcher.explain(now, &explain.0)
+    }
+}
+
+impl Handler<GetStatus> for ControlActor {
+    type Return = Status;
+
+    async fn handle(&mut self, _: GetStatus, _cx: &mut Context<Self>) -> Status {
+        let now = self.now();
+        let document = self.parts.adoption.current().map(|document| DocumentStatus {
+            revision: document.revision().0,
+            digest: document.digest().to_string(),
+            services: document.services().len(),
+            targets: document.targets().len(),
+        });
+        let members = self.parts.membership.members().list.iter().map(|member| MemberStatus {
+            vm: member.vm.to_string(),
+            state: member.state,
+            incarnation: member.incarnation.0,
+            size: member.size,
+            revision: member.revision.0,
+            control: member.address.control.to_string(),
+            silent_ms: now.since(member.heard_at).get(),
+        });
+        Status {
+            vm: self.vm.clone(),
+            incarnation: self.parts.incarnation.0,
+            uptime_ms: now.get(),
+            ready: self.ready,
+            leaving: self.leaving,
+            document,
+            members: members.collect(),
+            targets: self.parts.dispatcher.targets(),
+            requests_in_progress: self.requests.len(),
+        }
+    }
+}
+
+impl Handler<GetCounts> for ControlActor {
+    type Return = Counts;
+
+    async fn handle(&mut self, _: GetCounts, _cx: &mut Context<Self>) -> Counts {
+        let mut members_by_state = MembersByState::default();
+        let members = &self.parts.membership.members().list;
+        members.iter().for_each(|member| members_by_state.count(member.state));
+        Counts {
+            dispatch: self.parts.dispatcher.counters().clone(),
+            members: self.parts.membership.counters().clone(),
+            adoption: self.parts.adoption.counters().clone(),
+            links: self.peers.counters(),
+            revision: self.revision().0,
+            ready: self.ready,
+            members_by_state,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/control/peers.rs
@@ -0,0 +1,66 @@
+//! The addresses of other VMs, and the links to them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jasminecart_core::message::Outgoing;
+use jasminecart_core::names::{Incarnation, VmId};
+use jasminecart_core::process::{Members, PeerAddress, VmHint};
+use jasminecart_peer::{LinkLimits, PeerCounters, PeerLinks};
+
+/// The links to other VMs with the addresses known from members, the platform's list and the settings.
+#[derive(Debug)]
+pub(super) struct Peers {
+    me: VmId,
+    links: PeerLinks,
+    seeds: BTreeMap<VmId, PeerAddress>,
+    listed: BTreeMap<VmId, PeerAddress>,
+    members: BTreeMap<VmId, PeerAddress>,
+}
+
+impl Peers {
+    pub(super) fn new(me: VmId, incarnation: Incarnation, seeds: &[VmHint]) -> Peers {
+        let links = PeerLinks::new(me.clone(), incarnation, LinkLimits::default());
+        let seeds = seeds.iter().map(|seed| (seed.vm.clone(), seed.address)).collect();
+        Peers { me, links, seeds, listed: BTreeMap::new(), members: BTreeMap::new() }
+    }
+
+    /// Takes the platform's list. VMs of other data centres are known from it alone.
+    pub(super) fn set_listed(&mut self, list: &[VmHint]) {
+        self.listed = list.iter().map(|hint| (hint.vm.clone(), hint.address)).collect();
+        self.close_unknown();
+    }
+
+    pub(super) fn set_members(&mut self, members: &Members) {
+        let peers = members.peers();
+        self.members = peers.map(|member| (member.vm.clone(), member.address)).collect();
+        self.close_unknown();
+    }
+
+    /// Queues a message. What a member says of its own address is newer than the list and the settings.
+    pub(super) fn send(&mut self, outgoing: Outgoing) {
+        let to = &outgoing.to;
+        let known = [&self.members, &self.listed, &self.seeds];
+        let address = known.iter().find_map(|addresses| addresses.get(to));
+        match address.filter(|_| *to != self.me) {
+            Some(address) => {
+                let control = address.control;
+                self.links.send(to, control, outgoing.message);
+            }
+            None => self.links.drop_unroutable(),
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.links.is_idle()
+    }
+
+    pub(super) fn counters(&self) -> PeerCounters {
+        self.links.counters()
+    }
+
+    fn close_unknown(&mut self) {
+        let known = self.members.keys().chain(self.listed.keys()).chain(self.seeds.keys());
+        let known: BTreeSet<VmId> = known.cloned().collect();
+        self.links.retain(&known);
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/control/status.rs
@@ -0,0 +1,76 @@
+//! What the control actor tells operators.
+
+use jasminecart_core::process::{MemberCounters, MemberState};
+use jasminecart_core::request::{DispatchCounters, TargetUse};
+use jasminecart_core::version::AdoptionCounters;
+use jasminecart_peer::PeerCounters;
+use serde::Serialize;
+
+/// The state of the process, for the status page.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    pub(crate) vm: String,
+    pub(crate) incarnation: u64,
+    pub(crate) uptime_ms: u64,
+    pub(crate) ready: bool,
+    pub(crate) leaving: bool,
+    pub(crate) document: Option<DocumentStatus>,
+    pub(crate) members: Vec<MemberStatus>,
+    pub(crate) targets: Vec<TargetUse>,
+    pub(crate) requests_in_progress: usize,
+}
+
+/// The document in force.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct DocumentStatus {
+    pub(crate) revision: u64,
+    pub(crate) digest: String,
+    pub(crate) services: usize,
+    pub(crate) targets: usize,
+}
+
+/// A member of the data centre.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct MemberStatus {
+    pub(crate) vm: String,
+    pub(crate) state: MemberState,
+    pub(crate) incarnation: u64,
+    pub(crate) size: u32,
+    pub(crate) revision: u64,
+    pub(crate) control: String,
+    pub(crate) silent_ms: u64,
+}
+
+/// The counts of the facades and what else is exported as a metric.
+#[derive(Clone, Debug)]
+pub(crate) struct Counts {
+    pub(crate) dispatch: DispatchCounters,
+    pub(crate) members: MemberCounters,
+    pub(crate) adoption: AdoptionCounters,
+    pub(crate) links: PeerCounters,
+    pub(crate) revision: u64,
+    pub(crate) ready: bool,
+    pub(crate) members_by_state: MembersByState,
+}
+
+/// How many members are in each state.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct MembersByState {
+    pub(crate) joining: u64,
+    pub(crate) active: u64,
+    pub(crate) suspect: u64,
+    pub(crate) leaving: u64,
+    pub(crate) dead: u64,
+}
+
+impl MembersByState {
+    pub(crate) fn count(&mut self, state: MemberState) {
+        match state {
+            MemberState::Joining => self.joining += 1,
+            MemberState::Active => self.active += 1,
+            MemberState::Suspect => self.suspect += 1,
+            MemberState::Leaving => self.leaving += 1,
+            MemberState::Dead => self.dead += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/pool/lease.rs
@@ -0,0 +1,147 @@
+//! The right to send one request on a connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::{http1, http2};
+
+use super::stream::StreamState;
+use super::{Pool, SendFailure, TargetBody, Version, is_refused_stream};
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+pub(super) struct Http1 {
+    pub(super) sender: http1::SendRequest<TargetBody>,
+    pub(super) state: Arc<StreamState>,
+}
+
+impl Http1 {
+    /// Tells whether the connection is open, has finished the previous request and holds no bytes.
+    pub(super) fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.state.is_quiet()
+    }
+}
+
+/// A connection that carries many requests at a time.
+#[derive(Clone, Debug)]
+pub(super) struct Http2 {
+    pub(super) sender: http2::SendRequest<TargetBody>,
+    pub(super) state: Arc<StreamState>,
+}
+
+impl Http2 {
+    pub(super) fn is_usable(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    pub(super) fn is_same(&self, other: &Http2) -> bool {
+        Arc::ptr_eq(&self.state, &other.state)
+    }
+}
+
+#[derive(Debug)]
+enum Connection {
+    Http1(Http1),
+    Http2(Http2),
+}
+
+/// A connection checked out for one request. Dropping it closes an HTTP/1 connection, so that a late answer
+/// has nobody to reach; only [`Lease::finish`] returns the connection to the pool.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pool: Arc<Pool>,
+    address: SocketAddr,
+    connection: Option<Connection>,
+    written_before: u64,
+}
+
+impl Lease {
+    pub(super) fn http1(pool: Arc<Pool>, address: SocketAddr, connection: Http1) -> Lease {
+        let written_before = connection.state.written();
+        let connection = Some(Connection::Http1(connection));
+        Lease { pool, address, connection, written_before }
+    }
+
+    pub(super) fn http2(pool: Arc<Pool>, address: SocketAddr, connection: Http2) -> Lease {
+        Lease { pool, address, connection: Some(Connection::Http2(connection)), written_before: 0 }
+    }
+
+    pub(crate) fn version(&self) -> Version {
+        match self.connection {
+            Some(Connection::Http2(_)) => Version::Http2,
+            _ => Version::Http1,
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        req: Request<TargetBody>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        match self.connection.as_mut() {
+            Some(Connection::Http1(connection)) => {
+                let sent = connection.sender.try_send_request(req).await;
+                sent.map_err(|e| match e.message().is_some() {
+                    true => SendFailure::NotSent,
+                    false => self.abandon(),
+                })
+            }
+            Some(Connection::Http2(connection)) => {
+                let sent = connection.sender.try_send_request(req).await;
+                sent.map_err(|e| match e.message().is_some() {
+                    true => SendFailure::NotSent,
+                    false if is_refused_stream(e.error()) => SendFailure::StreamRefused,
+                    false => SendFailure::Broken,
+                })
+            }
+            None => Err(SendFailure::NotSent),
+        }
+    }
+
+    /// Gives the request up and tells whether it may have run. An HTTP/1 connection is closed; on HTTP/2 a
+    /// dropped request resets its stream, and without an answer from the target it may have run.
+    pub(crate) fn abandon(&mut self) -> SendFailure {
+        match self.connection.take() {
+            Some(Connection::Http1(connection)) => {
+                match connection.state.seal() == self.written_before {
+                    true => SendFailure::NotSent,
+                    false => SendFailure::Broken,
+                }
+            }
+            Some(Connection::Http2(_)) => SendFailure::Broken,
+            None => SendFailure::Broken,
+        }
+    }
+
+    /// Gives the request up because nothing moved, and keeps the connection from being used again.
+    pub(crate) fn abandon_silent(&mut self) -> SendFailure {
+        crate::metrics::count(&self.pool.metrics.counters.target_connections_silent);
+        if let Some(Connection::Http2(connection)) = &self.connection {
+            self.pool.retire(self.address, connection);
+        }
+        self.abandon()
+    }
+
+    /// Returns the connection to the pool after a complete answer. A connection that still sends its
+    /// request, or that the target wants closed, is not used again.
+    pub(crate) fn finish(mut self) {
+        let Some(Connection::Http1(connection)) = self.connection.take() else { return };
+        let (pool, address) = (self.pool.clone(), self.address);
+        let tasks = pool.tasks.clone();
+        tasks.spawn(async move {
+            let mut connection = connection;
+            let ready = connection.sender.ready();
+            if let Ok(Ok(())) = tokio::time::timeout(pool.limits.connect_within, ready).await {
+                pool.put_idle(address, connection);
+            }
+        });
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.abandon();
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/pool/mod.rs
@@ -0,0 +1,224 @@
+//! Connections to targets.
+//!
+//! The pool is owned by this crate, and not by a client library, because three promises depend on it: a
+//! request is reported as `not-run` only when no byte of it was written, a connection that the target closed
+//! while it was idle is not used again, and an answer can only reach the attempt whose connection carries it.
+
+mod failure;
+mod lease;
+mod stream;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::client::conn::{http1, http2};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+pub(crate) use self::failure::{SendFailure, is_refused_stream};
+pub(crate) use self::lease::Lease;
+use self::lease::{Http1, Http2};
+use self::stream::Counted;
+use crate::metrics::{Metrics, count};
+use crate::request::BodyError;
+use crate::tasks::Tasks;
+
+/// The body of a request to a target.
+pub(crate) type TargetBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Bound of the read buffer of a connection, and so of the bytes that are read ahead of a slow client.
+const BUFFER_BYTES: usize = 64 << 10;
+const HTTP2_WINDOW_BYTES: u32 = 64 << 10;
+/// A connection that is broken without a sign, such as by a lost machine, is noticed after about 30 s.
+const TCP_KEEP_ALIVE_IDLE: Duration = Duration::from_secs(15);
+const TCP_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+const TCP_KEEP_ALIVE_RETRIES: u32 = 3;
+const HTTP2_PING_INTERVAL: Duration = Duration::from_secs(10);
+const HTTP2_PING_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The version of HTTP that a target speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Version {
+    /// HTTP/1.1, one request at a time on a connection.
+    Http1,
+    /// HTTP/2 with prior knowledge.
+    Http2,
+}
+
+/// Bounds of the pool.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoolLimits {
+    pub(crate) connect_within: Duration,
+    pub(crate) keep_idle: Duration,
+    pub(crate) max_idle: usize,
+}
+
+/// The connections to all targets.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    limits: PoolLimits,
+    tasks: Tasks,
+    metrics: Arc<Metrics>,
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    shared: Mutex<HashMap<SocketAddr, Http2>>,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Http1,
+    since: Instant,
+}
+
+impl Pool {
+    pub(crate) fn new(limits: PoolLimits, tasks: Tasks, metrics: Arc<Metrics>) -> Arc<Pool> {
+        let (idle, shared) = (Mutex::default(), Mutex::default());
+        Arc::new(Pool { limits, tasks, metrics, idle, shared })
+    }
+
+    /// Returns a connection on which one request can be sent. An error means that nothing was sent.
+    pub(crate) async fn checkout(
+        self: &Arc<Pool>,
+        address: SocketAddr,
+        version: Version,
+    ) -> Result<Lease, SendFailure> {
+        let opened = match version {
+            Version::Http1 => self.checkout_http1(address).await,
+            Version::Http2 => self.checkout_http2(address).await,
+        };
+        opened.map_err(|_| {
+            count(&self.metrics.counters.target_connect_failed);
+            SendFailure::NotSent
+        })
+    }
+
+    async fn checkout_http1(self: &Arc<Pool>, address: SocketAddr) -> Result<Lease, ConnectError> {
+        let connection = match self.take_idle(address) {
+            Some(connection) => {
+                count(&self.metrics.counters.target_connections_reused);
+                connection
+            }
+            None => self.open_http1(address).await?,
+        };
+        Ok(Lease::http1(self.clone(), address, connection))
+    }
+
+    async fn checkout_http2(self: &Arc<Pool>, address: SocketAddr) -> Result<Lease, ConnectError> {
+        let usable = |shared: &&Http2| shared.is_usable();
+        let open = lock(&self.shared).get(&address).filter(usable).cloned();
+        let connection = match open {
+            Some(connection) => {
+                count(&self.metrics.counters.target_connections_reused);
+                connection
+            }
+            None => {
+                let connection = self.open_http2(address).await?;
+                lock(&self.shared).insert(address, connection.clone());
+                connection
+            }
+        };
+        Ok(Lease::http2(self.clone(), address, connection))
+    }
+
+    /// Takes the connection that was used last. Connections that the target closed, or on which it sent
+    /// bytes that nobody asked for, are dropped.
+    fn take_idle(&self, address: SocketAddr) -> Option<Http1> {
+        let mut idle = lock(&self.idle);
+        let connections = idle.get_mut(&address)?;
+        while let Some(Idle { connection, since }) = connections.pop() {
+            if since.elapsed() >= self.limits.keep_idle {
+                continue;
+            }
+            if connection.is_usable() {
+                return Some(connection);
+            }
+            count(&self.metrics.counters.target_connections_stale);
+        }
+        None
+    }
+
+    fn put_idle(&self, address: SocketAddr, connection: Http1) {
+        let mut idle = lock(&self.idle);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < self.limits.max_idle {
+            connections.push(Idle { connection, since: Instant::now() });
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn sweep(&self) {
+        let keep = self.limits.keep_idle;
+        lock(&self.idle).retain(|_, connections| {
+            connections.retain(|idle| idle.since.elapsed() < keep);
+            !connections.is_empty()
+        });
+        lock(&self.shared).retain(|_, connection| connection.is_usable());
+    }
+
+    /// Keeps a connection from being used for further requests, because it made no progress.
+    fn retire(&self, address: SocketAddr, connection: &Http2) {
+        let mut shared = lock(&self.shared);
+        if shared.get(&address).is_some_and(|other| other.is_same(connection)) {
+            shared.remove(&address);
+        }
+    }
+
+    async fn open_http1(&self, address: SocketAddr) -> Result<Http1, ConnectError> {
+        let (stream, state) = Counted::new(self.connect(address).await?);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake::<_, TargetBody>(TokioIo::new(stream))
+            .await?;
+        self.tasks.spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Http1 { sender, state })
+    }
+
+    async fn open_http2(&self, address: SocketAddr) -> Result<Http2, ConnectError> {
+        let (stream, state) = Counted::new(self.connect(address).await?);
+        let (sender, connection) = http2::Builder::new(self.tasks.clone())
+            .timer(TokioTimer::new())
+            .initial_stream_window_size(HTTP2_WINDOW_BYTES)
+            .keep_alive_interval(HTTP2_PING_INTERVAL)
+            .keep_alive_timeout(HTTP2_PING_TIMEOUT)
+            .handshake::<_, TargetBody>(TokioIo::new(stream))
+            .await?;
+        self.tasks.spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Http2 { sender, state })
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, ConnectError> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(self.limits.connect_within, connect).await??;
+        stream.set_nodelay(true)?;
+        let keep_alive = TcpKeepalive::new()
+            .with_time(TCP_KEEP_ALIVE_IDLE)
+            .with_interval(TCP_KEEP_ALIVE_INTERVAL)
+            .with_retries(TCP_KEEP_ALIVE_RETRIES);
+        SockRef::from(&stream).set_tcp_keepalive(&keep_alive)?;
+        count(&self.metrics.counters.target_connections);
+        Ok(stream)
+    }
+}
+
+/// Why a connection could not be opened. Callers only need to know that nothing was sent.
+#[derive(Debug, thiserror::Error)]
+enum ConnectError {
+    #[error("the connection was not opened in time")]
+    Timeout(#[from] tokio::time::error::Elapsed),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Http(#[from] hyper::Error),
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/settings.rs
@@ -0,0 +1,320 @@
+//! The settings of an entry process, from one INI text.
+
+use std::net::SocketAddr;
+
+use jasminecart_core::ini::{self, Problem, Problems, Section};
+use jasminecart_core::names::{Name, VmId};
+use jasminecart_core::process::{PeerAddress, VmHint};
+use jasminecart_core::time::Millis;
+use jasminecart_core::units;
+use log::LevelFilter;
+use thiserror::Error;
+
+const KINDS: [&str; 6] = ["vm", "listen", "platform", "peers", "limits", "log"];
+const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
+const SOCKET: &str = "an IP address and port such as 10.0.0.5:8080";
+const CONCRETE_SOCKET: &str =
+    "a concrete IP address and port such as 10.0.0.5:8080, because peers are told this address";
+const SPAN: &str = "a span of 1 ms to 24 h such as 250ms, 30s or 5m";
+const SEED: &str =
+    "DATA_CENTRE/NAME CONTROL PACKETS REQUESTS, with three addresses such as 10.0.0.5:7000";
+const MAX_SPAN: Millis = Millis::from_secs(24 * 3600);
+
+/// The settings of one entry process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The identity of the VM.
+    pub me: VmId,
+    /// The capacity of the VM relative to the others.
+    pub size: u32,
+    /// The addresses of the listeners.
+    pub listen: ListenSettings,
+    /// The address of the platform's configuration service.
+    pub platform: SocketAddr,
+    /// VMs to contact before the platform's list of VMs was read.
+    pub seeds: Vec<VmHint>,
+    /// Bounds of the process.
+    pub limits: LimitSettings,
+    /// What is logged and where.
+    pub log: LogSettings,
+    /// The seed of the state machines, which also keys the secret of issued keys. It is random when absent
+    /// and cannot be set in the text, because a known seed lets clients forge keys.
+    pub seed: Option<u64>,
+}
+
+/// The addresses of the listeners. Port 0 lets the operating system choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// The TCP address for requests of clients and forwarded requests of other VMs.
+    pub requests: SocketAddr,
+    /// The UDP address for packets from the fabric.
+    pub packets: SocketAddr,
+    /// The UDP address for packets from other VMs.
+    pub peer_packets: SocketAddr,
+    /// The TCP address of the peer service.
+    pub peers: SocketAddr,
+    /// The TCP address for operators.
+    pub operators: SocketAddr,
+}
+
+/// Bounds of one entry process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// The most open connections of clients.
+    pub max_connections: usize,
+    /// The most requests in progress, queued ones included.
+    pub max_requests: usize,
+    /// How long a planned stop may take.
+    pub stop_within: Millis,
+    /// The most entries of the flow table.
+    pub max_exceptions: usize,
+    /// The most records of idempotency keys.
+    pub max_keys: usize,
+    /// The most bytes of stored answers of keyed requests.
+    pub stored_answer_bytes: u64,
+    /// How long opening a connection to a target may take.
+    pub connect_within: Millis,
+    /// How long an unused connection to a target is kept.
+    pub keep_idle: Millis,
+    /// The most unused connections kept for each target.
+    pub max_idle: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        LimitSettings {
+            max_connections: 10_000,
+            max_requests: 4_000,
+            stop_within: Millis::from_secs(60),
+            max_exceptions: 1_000_000,
+            max_keys: 100_000,
+            stored_answer_bytes: 64 << 20,
+            connect_within: Millis::from_secs(2),
+            // Common servers close idle connections after 5 s; closing earlier on this side avoids
+            // requests that meet a connection which the target is about to close.
+            keep_idle: Millis::from_secs(4),
+            max_idle: 16,
+        }
+    }
+}
+
+/// What is logged and where.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// The least severe level that is logged.
+    pub level: LevelFilter,
+    /// Where log lines go.
+    pub output: LogOutput,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings { level: LevelFilter::Info, output: LogOutput::Stderr }
+    }
+}
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// All problems of settings that were refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the settings have {} problems, the first: {}", problems.len(), first(problems))]
+pub struct SettingsErrors {
+    /// The problems in the order of their lines.
+    pub problems: Vec<Problem>,
+}
+
+fn first(problems: &[Problem]) -> String {
+    problems.first().map(Problem::to_string).unwrap_or_default()
+}
+
+impl Settings {
+    /// Parses and validates settings. All problems are returned at once.
+    pub fn parse(text: &str) -> Result<Settings, SettingsErrors> {
+        let mut problems = Problems::default();
+        let mut sections = ini::sections(text, &mut problems);
+        report_unknown(&sections, &mut problems);
+        let settings = read(&mut sections, &mut problems);
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(SettingsErrors { problems: problems.into_sorted() }),
+        }
+    }
+
+    /// Sets the seed of the state machines, for reproducible runs.
+    pub fn with_seed(mut self, seed: u64) -> Settings {
+        self.seed = Some(seed);
+        self
+    }
+}
+
+fn report_unknown(sections: &[Section], problems: &mut Problems) {
+    for section in sections {
+        if !KINDS.contains(&section.kind.as_str()) {
+            let hint = ini::nearest(&section.kind, &KINDS);
+            let hint = hint.map(|kind| format!("; did you mean {kind:?}?")).unwrap_or_default();
+            section.report(problems, "", format!("unknown section{hint}"));
+        } else if !section.name.is_empty() {
+            section.report(problems, "", "this section has no name");
+        }
+    }
+}
+
+/// Takes a section out of the text; an absent section has no entries, so its required keys are reported.
+fn take(sections: &mut Vec<Section>, kind: &str) -> Section {
+    let place = sections.iter().position(|section| section.kind == kind);
+    place.map_or_else(|| Section::empty(kind), |place| sections.swap_remove(place))
+}
+
+fn read(sections: &mut Vec<Section>, problems: &mut Problems) -> Option<Settings> {
+    let vm = read_vm(take(sections, "vm"), problems);
+    let listen = read_listen(take(sections, "listen"), problems);
+    let platform = read_platform(take(sections, "platform"), problems);
+    let seeds = read_peers(take(sections, "peers"), problems);
+    let limits = read_limits(take(sections, "limits"), problems);
+    let log = read_log(take(sections, "log"), problems);
+    let ((me, size), listen, platform) = (vm?, listen?, platform?);
+    Some(Settings { me, size, listen, platform, seeds, limits, log, seed: None })
+}
+
+fn read_vm(mut section: Section, problems: &mut Problems) -> Option<(VmId, u32)> {
+    let name = section.required(problems, "name", NAME, Name::parse);
+    let data_centre = section.required(problems, "data_centre", NAME, Name::parse);
+    let size = read_count(&mut section, problems, "size", 1, 1_000, 1);
+    section.finish(problems);
+    let (name, data_centre) = (name?, data_centre?);
+    Some((VmId { data_centre, name }, u32::try_from(size).unwrap_or(1)))
+}
+
+fn read_listen(mut section: Section, problems: &mut Problems) -> Option<ListenSettings> {
+    let concrete = |text: &str| parse_socket(text).filter(|address| !address.ip().is_unspecified());
+    let requests = section.required(problems, "requests", CONCRETE_SOCKET, concrete);
+    let packets = section.required(problems, "packets", SOCKET, parse_socket);
+    let peer_packets = section.required(problems, "peer_packets", CONCRETE_SOCKET, concrete);
+    let peers = section.required(problems, "peers", CONCRETE_SOCKET, concrete);
+    let operators = section.required(problems, "operators", SOCKET, parse_socket);
+    section.finish(problems);
+    Some(ListenSettings {
+        requests: requests?,
+        packets: packets?,
+        peer_packets: peer_packets?,
+        peers: peers?,
+        operators: operators?,
+    })
+}
+
+fn read_platform(mut section: Section, problems: &mut Problems) -> Option<SocketAddr> {
+    let address = section.required(problems, "address", SOCKET, parse_socket);
+    section.finish(problems);
+    address
+}
+
+fn read_peers(mut section: Section, problems: &mut Problems) -> Vec<VmHint> {
+    let seeds = section.list(problems, "seeds", SEED, parse_seed);
+    section.finish(problems);
+    seeds
+}
+
+fn read_limits(mut section: Section, problems: &mut Problems) -> LimitSettings {
+    let default = LimitSettings::default();
+    let f = &mut section;
+    let limits = LimitSettings {
+        max_connections: read_count(
+            f,
+            problems,
+            "max_connections",
+            1,
+            1_000_000,
+            default.max_connections,
+        ),
+        max_requests: read_count(f, problems, "max_requests", 1, 1_000_000, default.max_requests),
+        stop_within: read_span(f, problems, "stop_within", default.stop_within),
+        max_exceptions: read_count(
+            f,
+            problems,
+            "max_exceptions",
+            1,
+            100_000_000,
+            default.max_exceptions,
+        ),
+        max_keys: read_count(f, problems, "max_keys", 1, 10_000_000, default.max_keys),
+        stored_answer_bytes: f
+            .optional(
+                problems,
+                "stored_answer_bytes",
+                "a size up to 1024MiB such as 64MiB",
+                |text| units::parse_bytes(text).filter(|size| *size <= 1 << 30),
+            )
+            .unwrap_or(default.stored_answer_bytes),
+        connect_within: read_span(f, problems, "connect_within", default.connect_within),
+        keep_idle: read_span(f, problems, "keep_idle", default.keep_idle),
+        max_idle: read_count(f, problems, "max_idle", 0, 10_000, default.max_idle),
+    };
+    section.finish(problems);
+    limits
+}
+
+fn read_log(mut section: Section, problems: &mut Problems) -> LogSettings {
+    let default = LogSettings::default();
+    let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
+    let level = section.optional(problems, "level", levels, |text| match text {
+        "off" => Some(LevelFilter::Off),
+        "error" => Some(LevelFilter::Error),
+        "warn" => Some(LevelFilter::Warn),
+        "info" => Some(LevelFilter::Info),
+        "debug" => Some(LevelFilter::Debug),
+        _ => None,
+    });
+    let output =
+        section.optional(problems, "output", "\"stderr\" or \"stdout\"", |text| match text {
+            "stderr" => Some(LogOutput::Stderr),
+            "stdout" => Some(LogOutput::Stdout),
+            _ => None,
+        });
+    section.finish(problems);
+    LogSettings { level: level.unwrap_or(default.level), output: output.unwrap_or(default.output) }
+}
+
+fn read_count(
+    section: &mut Section,
+    problems: &mut Problems,
+    key: &'static str,
+    least: usize,
+    most: usize,
+    default: usize,
+) -> usize {
+    let expected = format!("a number from {least} to {most}");
+    let parse = |text: &str| text.parse().ok().filter(|count| (least..=most).contains(count));
+    section.optional(problems, key, &expected, parse).unwrap_or(default)
+}
+
+fn read_span(
+    section: &mut Section,
+    problems: &mut Problems,
+    key: &'static str,
+    default: Millis,
+) -> Millis {
+    let parse =
+        |text: &str| units::parse_span(text).filter(|span| (Millis(1)..=MAX_SPAN).contains(span));
+    section.optional(problems, key, SPAN, parse).unwrap_or(default)
+}
+
+fn parse_socket(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+fn parse_seed(text: &str) -> Option<VmHint> {
+    let mut words = text.split_whitespace();
+    let (data_centre, name) = words.next()?.split_once('/')?;
+    let vm = VmId { data_centre: Name::parse(data_centre)?, name: Name::parse(name)? };
+    let mut socket = || words.next().and_then(parse_socket);
+    let (control, packets, requests) = (socket()?, socket()?, socket()?);
+    let address = PeerAddress { control, packets, requests };
+    words.next().is_none().then_some(VmHint { vm, address, leaving: false })
+}
--- /dev/null
+++ b/crates/jasminecart-entry/src/tasks.rs
@@ -0,0 +1,41 @@
+//! The tasks of one entry process.
+
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Spawns tasks that all end at once when the entry process is killed. A task of the process must be
+/// spawned through this type, or it would outlive [`crate::EntryHandle::kill`].
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tasks {
+    killed: CancellationToken,
+}
+
+impl Tasks {
+    /// Spawns a task. Its future is dropped when the process is killed.
+    pub(crate) fn spawn<F>(&self, future: F) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let killed = self.killed.clone();
+        tokio::spawn(async move {
+            killed.run_until_cancelled(future).await;
+        })
+    }
+
+    /// Drops the futures of all tasks.
+    pub(crate) fn kill(&self) {
+        self.killed.cancel();
+    }
+}
+
+/// Lets hyper spawn the background tasks of HTTP/2 connections.
+impl<F> hyper::rt::Executor<F> for Tasks
+where
+    F: Future + Send + 'static,
+{
+    fn execute(&self, future: F) {
+        self.spawn(async move {
+            future.await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-entry/tests/support/mod.rs
@@ -0,0 +1,370 @@
+//! Small fakes on loopback for the contract tests of the entry daemon.
+#![allow(dead_code, unreachable_pub)] // Each test file uses a part of the fakes.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::{http1, http2};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use jasminecart_entry::{Entry, EntryHandle, Settings};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Bounds a wait that ends early when the program is correct.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until a condition holds, and fails the test when it never does.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "never happened: {what}");
+}
+
+/// A platform with one document and a list of VMs.
+pub struct Platform {
+    pub address: SocketAddr,
+    document: watch::Sender<(u64, String)>,
+    vms: Arc<Mutex<String>>,
+    pub calls: Arc<AtomicUsize>,
+}
+
+impl Platform {
+    pub async fn start(revision: u64, document: &str) -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (document, _) = watch::channel((revision, document.to_owned()));
+        let vms = Arc::new(Mutex::new("[]".to_owned()));
+        let calls = Arc::new(AtomicUsize::new(0));
+        let (watched, listed, counted) = (document.clone(), vms.clone(), calls.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let (watched, listed) = (watched.clone(), listed.clone());
+                let counted = counted.clone();
+                let service = service_fn(move |req: Request<Incoming>| {
+                    counted.fetch_add(1, Ordering::Relaxed);
+                    let (watched, listed) = (watched.subscribe(), listed.clone());
+                    async move { Ok::<_, Infallible>(answer(req, watched, listed).await) }
+                });
+                tokio::spawn(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service),
+                );
+            }
+        });
+        Platform { address, document, vms, calls }
+    }
+
+    pub fn publish(&self, revision: u64, document: &str) {
+        self.document.send_replace((revision, document.to_owned()));
+    }
+
+    pub fn list(&self, entries: &[&EntryHandle]) {
+        let rows: Vec<String> = entries
+            .iter()
+            .map(|entry| {
+                let (me, at) = (entry.me(), entry.addresses());
+                format!(
+                    r#"{{"data_centre":"{}","name":"{}","control":"{}","packets":"{}","requests":"{}","leaving":false}}"#,
+                    me.data_centre, me.name, at.peers, at.peer_packets, at.requests
+                )
+            })
+            .collect();
+        *self.vms.lock().unwrap() = format!("[{}]", rows.join(","));
+    }
+}
+
+async fn answer(
+    req: Request<Incoming>,
+    mut document: watch::Receiver<(u64, String)>,
+    vms: Arc<Mutex<String>>,
+) -> Response<Full<Bytes>> {
+    if req.uri().path() == "/v1/vms" {
+        return Response::new(Full::from(vms.lock().unwrap().clone()));
+    }
+    let query = req.uri().query().unwrap_or_default();
+    let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
+    if let Some(after) = after.map(|after| after.parse::<u64>().unwrap()) {
+        let wait = document.wait_for(|(revision, _)| *revision != after);
+        if tokio::time::timeout(Duration::from_secs(30), wait).await.is_err() {
+            let empty = Response::builder().status(StatusCode::NOT_MODIFIED);
+            return empty.body(Full::default()).unwrap();
+        }
+    }
+    let (revision, text) = document.borrow().clone();
+    Response::builder().header("revision", revision).body(Full::from(text)).unwrap()
+}
+
+/// Returns a document with the service `claims` at the host `claims.test` and these targets.
+pub fn document(service: &str, targets: &[SocketAddr]) -> String {
+    let mut text = format!("[service claims]\nhost = claims.test\n{service}\n");
+    for (n, address) in targets.iter().enumerate() {
+        text += &format!(
+            "[target t{n}]\nservice = claims\ndata_centre = ub-1\naddress = {address}\nslots = 100\n"
+        );
+    }
+    text
+}
+
+pub fn settings(name: &str, platform: SocketAddr, extra: &str) -> Settings {
+    let text = format!(
+        "[vm]\nname = {name}\ndata_centre = ub-1\n\
+         [listen]\nrequests = 127.0.0.1:0\npackets = 127.0.0.1:0\npeer_packets = 127.0.0.1:0\n\
+         peers = 127.0.0.1:0\noperators = 127.0.0.1:0\n\
+         [platform]\naddress = {platform}\n[log]\nlevel = warn\n{extra}"
+    );
+    Settings::parse(&text).unwrap().with_seed(7)
+}
+
+/// Starts an entry VM and waits until it is ready.
+pub async fn entry(name: &str, platform: &Platform, extra: &str) -> EntryHandle {
+    let entry = Entry::start(settings(name, platform.address, extra)).await.unwrap();
+    let operators = entry.addresses().operators;
+    eventually("ready", || async move { get(operators, "/readyz").await.0 == StatusCode::OK })
+        .await;
+    entry
+}
+
+/// Waits until a metric of an entry VM has reached a value.
+pub async fn metric_reaches(entry: &EntryHandle, name: &str, least: u64) {
+    let operators = entry.addresses().operators;
+    eventually(
+        &format!("{name} >= {least}"),
+        || async move { metric(operators, name).await >= least },
+    )
+    .await;
+}
+
+pub async fn metric(operators: SocketAddr, name: &str) -> u64 {
+    let (_, text) = get(operators, "/metrics").await;
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("jasminecart_{name} ")));
+    line.unwrap_or_else(|| panic!("no metric {name} in {text}")).parse().unwrap()
+}
+
+pub async fn get(address: SocketAddr, path: &str) -> (StatusCode, String) {
+    let req = Request::get(path).header("host", "test").body(Full::default()).unwrap();
+    match exchange(address, req).await {
+        Ok(answer) => (answer.status, String::from_utf8_lossy(&answer.body).into_owned()),
+        Err(_) => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+    }
+}
+
+/// A complete answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> Option<&str> {
+        self.headers.get(jasminecart_entry::OUTCOME_HEADER).map(|value| value.to_str().unwrap())
+    }
+}
+
+/// Builds a request to the service of [`document`].
+pub fn request(method: &str, path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let req = Request::builder().method(method).uri(path).header("host", "claims.test");
+    req.body(Full::new(body.into())).unwrap()
+}
+
+/// Sends one request on a connection of its own. An error means that no complete answer was received.
+pub async fn exchange(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Answer, hyper::Error> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let answer = collect(sender.send_request(req).await?).await;
+    driver.abort();
+    answer
+}
+
+/// Sends one request over HTTP/2 with prior knowledge.
+pub async fn exchange2(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Result<Answer, hyper::Error> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) =
+        http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let (mut parts, body) = req.into_parts();
+    let host = parts.headers.remove("host").unwrap();
+    parts.uri = format!("http://{}{}", host.to_str().unwrap(), parts.uri).parse().unwrap();
+    let answer = collect(sender.send_request(Request::from_parts(parts, body)).await?).await;
+    driver.abort();
+    answer
+}
+
+pub async fn collect(response: Response<Incoming>) -> Result<Answer, hyper::Error> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Answer { status: parts.status, headers: parts.headers, body })
+}
+
+/// Returns an idempotency key that an entry VM issued.
+pub async fn issue_key(address: SocketAddr) -> String {
+    let req = request("POST", jasminecart_entry::KEYS_PATH, "");
+    let answer = exchange(address, req).await.unwrap();
+    assert_eq!(answer.status, StatusCode::CREATED);
+    String::from_utf8(answer.body.to_vec()).unwrap()
+}
+
+/// A target that is scripted byte by byte, and counts the requests whose head it received.
+pub struct Target {
+    pub address: SocketAddr,
+    pub received: Arc<AtomicUsize>,
+    pub connections: Arc<AtomicUsize>,
+}
+
+/// A request as a scripted target received it.
+pub struct Received {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+/// What a scripted target does with a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Script {
+    /// Sends these bytes and keeps the connection.
+    Send(&'static [u8]),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(&'static [u8]),
+    /// Sends these bytes and then nothing more, with the connection open.
+    SendAndHang(&'static [u8]),
+    /// Answers with the body of the request.
+    Echo,
+    /// Answers with the head of the request.
+    EchoHead,
+}
+
+impl Target {
+    /// Starts a target whose n-th request runs the n-th script; the last one is repeated.
+    pub async fn start(scripts: &'static [Script]) -> Target {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (received, connections) =
+            (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let (counted, accepted) = (received.clone(), connections.clone());
+        tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                accepted.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(follow(stream, scripts, counted.clone()));
+            }
+        });
+        Target { address, received, connections }
+    }
+
+    pub fn received(&self) -> usize {
+        self.received.load(Ordering::SeqCst)
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
+
+async fn follow(mut stream: TcpStream, scripts: &'static [Script], received: Arc<AtomicUsize>) {
+    let mut buf = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buf, &received).await {
+        let (n, request) = request;
+        let script = scripts[n.min(scripts.len() - 1)];
+        let echo = |body: &[u8]| {
+            let mut text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+            let mut bytes = std::mem::take(&mut text).into_bytes();
+            bytes.extend_from_slice(body);
+            bytes
+        };
+        let (bytes, close, hang) = match script {
+            Script::Send(bytes) => (bytes.to_vec(), false, false),
+            Script::SendAndClose(bytes) => (bytes.to_vec(), true, false),
+            Script::SendAndHang(bytes) => (bytes.to_vec(), false, true),
+            Script::Echo => (echo(&request.body), false, false),
+            Script::EchoHead => (echo(request.head.as_bytes()), false, false),
+        };
+        if stream.write_all(&bytes).await.is_err() || close {
+            return;
+        }
+        if hang {
+            let mut ignored = [0; 1024];
+            while stream.read(&mut ignored).await.is_ok_and(|count| count > 0) {}
+            return;
+        }
+    }
+}
+
+/// Reads one request with `content-length` or chunked framing.
+async fn read_request(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    received: &AtomicUsize,
+) -> Option<(usize, Received)> {
+    let end = read_until(stream, buf, b"\r\n\r\n").await?;
+    let n = received.fetch_add(1, Ordering::SeqCst);
+    let head = String::from_utf8(buf.drain(..end).collect()).unwrap();
+    let lower = head.to_lowercase();
+    let length = lower.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = Vec::new();
+    if let Some(length) = length.map(|length| length.parse::<usize>().unwrap()) {
+        while buf.len() < length {
+            read_more(stream, buf).await?;
+        }
+        body = buf.drain(..length).collect();
+    } else if lower.contains("transfer-encoding: chunked") {
+        loop {
+            let end = read_until(stream, buf, b"\r\n").await?;
+            let size = String::from_utf8(buf.drain(..end).collect()).unwrap();
+            let size = usize::from_str_radix(size.trim(), 16).unwrap();
+            while buf.len() < size + 2 {
+                read_more(stream, buf).await?;
+            }
+            body.extend(buf.drain(..size));
+            buf.drain(..2);
+            if size == 0 {
+                break;
+            }
+        }
+    }
+    Some((n, Received { head, body }))
+}
+
+async fn read_until(stream: &mut TcpStream, buf: &mut Vec<u8>, mark: &[u8]) -> Option<usize> {
+    loop {
+        if let Some(at) = buf.windows(mark.len()).position(|window| window == mark) {
+            return Some(at + mark.len());
+        }
+        read_more(stream, buf).await?;
+    }
+}
+
+async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<()> {
+    match stream.read_buf(buf).await {
+        Ok(count) if count > 0 => Some(()),
+        _ => None,
+    }
+}
+
+/// An address at which nobody listens.
+pub async fn closed_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+pub fn empty() -> Empty<Bytes> {
+    Empty::new()
+}
