Add the demo

Section 14 asks for one process that shows the promises with real sockets. The demo starts the platform, targets, a lossy fabric, clients and three entry VMs in two data centres, then publishes a document, drains a target, replaces an entry VM, makes the platform unreachable and stale, and kills an entry VM. Its figures come from what targets and clients saw; the revisions on the status pages are sampled as well.

--- /dev/null
+++ b/crates/jasminecart-standin/src/demo/scenario.rs
@@ -0,0 +1,214 @@
+//! The steps of the demo.
+
+use std::time::Duration;
+
+use jasminecart_core::Name;
+
+use super::Progress;
+use super::entries::Vm;
+use super::figures::{DemoFigures, DemoReport};
+use super::services::Service;
+use super::world::World;
+use crate::errors::Result;
+use crate::feeds::FeedFault;
+use crate::platform::PlatformMode;
+use crate::run_log::{Told, Verdicts};
+
+/// A document is in force in a data centre within 5 s (invariant I8).
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// Longer than the 3 s after which a revision is active for new flows.
+const ACTIVATION: Duration = Duration::from_millis(3_200);
+/// The bound of a drain, counted from the publication, with time for the first sample after it.
+const DRAIN: Duration = Duration::from_millis(5_200);
+/// How late the fabric learns that a VM is gone.
+const FABRIC_LAG: Duration = Duration::from_millis(300);
+/// How long an outage or a stale platform lasts.
+const OUTAGE: Duration = Duration::from_secs(3);
+/// A feed answers within a second through the lossy fabric. A segment that is lost three times in a row
+/// takes 5 s. A broken feed is silent for ever.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// A death is detected within 6 s at today's size. Until then a feed whose first owner died is silent, and
+/// the retransmission that ends the silence comes up to as long after it.
+const PATIENCE_AFTER_DEATH: Duration = Duration::from_secs(13);
+
+pub(super) async fn run(world: &mut World, progress: &Progress) -> Result<DemoReport> {
+    open_feeds(world, progress).await?;
+    add_target(world, progress).await?;
+    drain_target(world, progress).await?;
+    replace_vm(world, progress).await?;
+    break_platform(world, progress).await?;
+    kill_vm(world, progress).await?;
+    progress.say("waiting for the last answers");
+    world.finish_requests().await;
+    world.check_feeds(PATIENCE).await?;
+    Ok(report(world))
+}
+
+async fn check(world: &mut World, progress: &Progress, step: &str) -> Result<()> {
+    let patience = if world.is_killed { PATIENCE_AFTER_DEATH } else { PATIENCE };
+    let new = world.check_feeds(patience).await?;
+    let totals = &world.totals;
+    let broken = totals.broken_by_plan.iter().chain(&totals.broken_by_kill);
+    let broken: Vec<String> =
+        broken.map(|(fault, count)| format!("{count} {fault:?}").to_lowercase()).collect();
+    let broken = if broken.is_empty() { "none".to_owned() } else { broken.join(", ") };
+    let new: Vec<String> = new.iter().map(|(name, count)| format!("{name} {count}")).collect();
+    let new = if new.is_empty() { String::new() } else { format!("; new on {}", new.join(", ")) };
+    progress.say(&format!(
+        "{step}: {} of {} feeds open, broken: {broken}{new}",
+        totals.alive, totals.opened
+    ));
+    Ok(())
+}
+
+async fn open_feeds(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say(
+        "the entry VMs are ready; opening feeds through a fabric that sprays, loses 2 %, \
+                  duplicates 2 % and reorders 10 %; sending claims and uploads",
+    );
+    world.open_feeds(30, 10).await?;
+    check(world, progress, "start").await
+}
+
+/// Waits until a revision is in force everywhere and says how long that took.
+async fn wait_in_force(world: &World, progress: &Progress, revision: u64) {
+    match world.wait_revision(revision, IN_FORCE_WITHIN).await {
+        Some(span) => {
+            let secs = span.as_secs_f64();
+            progress.say(&format!("revision {revision} is in force everywhere after {secs:.1} s"));
+        }
+        None => progress.say(&format!("revision {revision} is not in force everywhere in time")),
+    }
+}
+
+async fn add_target(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say("publishing a document with one more target in each data centre");
+    world.add_target("north", Service::Claims, 9).await?;
+    world.add_target("south", Service::Claims, 9).await?;
+    let revision = world.publish();
+    wait_in_force(world, progress, revision).await;
+    tokio::time::sleep(ACTIVATION).await;
+    world.open_feeds(15, 5).await?;
+    check(world, progress, "new document").await
+}
+
+async fn drain_target(world: &mut World, progress: &Progress) -> Result<()> {
+    let name = Name::new("north-claims-0");
+    progress.say(&format!("publishing that {name} drains"));
+    let revision = world.drain(&name);
+    tokio::join!(wait_in_force(world, progress, revision), tokio::time::sleep(DRAIN));
+    world.note_drained();
+    world.open_feeds(15, 5).await?;
+    check(world, progress, "drain").await
+}
+
+async fn replace_vm(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say("replacing north-2 by north-3");
+    world.start_vm("north", "north-3").await?;
+    if let Some(vm) = world.vms.last() {
+        vm.wait_ready().await?;
+    }
+    progress.say("north-3 is ready; stopping north-2 in a planned way");
+    let mut leaving = world.take_vm("north-2")?;
+    leaving.is_leaving = true;
+    let mut listed: Vec<_> = world.vms.iter().map(Vm::on_platform).collect();
+    listed.push(leaving.on_platform());
+    world.platform.set_vms(listed);
+    let stop = tokio::spawn(leaving.stop());
+    tokio::time::sleep(FABRIC_LAG).await;
+    world.entries.remove(&Name::new("north-2"));
+    world.tell();
+    if let Ok(stopped) = stop.await {
+        let (drained, cut_off) = (stopped.is_drained, stopped.cut_off);
+        progress.say(&format!("north-2 stopped, drained: {drained}, requests cut off: {cut_off}"));
+    }
+    world.open_feeds(10, 5).await?;
+    check(world, progress, "replacement").await
+}
+
+async fn break_platform(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say("the platform is unreachable");
+    world.platform.set_mode(PlatformMode::Unreachable);
+    world.open_feeds(5, 5).await?;
+    tokio::time::sleep(OUTAGE).await;
+    check(world, progress, "outage").await?;
+    progress.say("the platform is back with the first revision and the list of VMs of that time");
+    world.platform.set_mode(PlatformMode::Behind { revision: 1 });
+    world.open_feeds(5, 5).await?;
+    tokio::time::sleep(OUTAGE).await;
+    check(world, progress, "stale platform").await?;
+    world.platform.set_mode(PlatformMode::Current);
+    let revision = world.publish();
+    wait_in_force(world, progress, revision).await;
+    Ok(())
+}
+
+async fn kill_vm(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say("killing north-1");
+    world.is_killed = true;
+    let name = Name::new("north-1");
+    let entry = world.entries.get(&name);
+    entry.iter().for_each(|entry| entry.mark_killed());
+    world.take_vm("north-1")?.kill().await;
+    tokio::time::sleep(FABRIC_LAG).await;
+    world.entries.remove(&name);
+    world.tell();
+    world.open_feeds(10, 5).await?;
+    check(world, progress, "kill").await
+}
+
+fn report(world: &World) -> DemoReport {
+    let verdicts = world.log.verdicts();
+    let targets = world.targets.iter().map(|target| target.packets.counts());
+    let misrouted_packets: u64 = targets.map(|counts| counts.misrouted).sum();
+    let totals = &world.totals;
+    let broken = totals.broken_by_plan.iter().chain(&totals.broken_by_kill);
+    let is_misrouted = |fault: &FeedFault| matches!(fault, FeedFault::Crossed);
+    let crossed_feeds: u64 =
+        broken.filter(|(fault, _)| is_misrouted(fault)).map(|(_, count)| *count).sum();
+    let figures = DemoFigures {
+        feeds: totals.opened,
+        broken_by_plan: totals.broken_by_plan.values().sum(),
+        broken_by_kill: totals.broken_by_kill.values().sum(),
+        requests: verdicts.operations,
+        lost: verdicts.lost.len() as u64,
+        run_twice: verdicts.run_twice.len() as u64,
+        false_not_run: verdicts.false_not_run.len() as u64,
+        misrouted: misrouted_packets
+            + verdicts.misrouted
+            + verdicts.crossed.len() as u64
+            + crossed_feeds,
+        reverted: world.reversions() + world.work_after_drain(),
+    };
+    DemoReport { table: table(world, &verdicts, &figures), figures }
+}
+
+fn table(world: &World, verdicts: &Verdicts, figures: &DemoFigures) -> Vec<String> {
+    let told = |told| verdicts.told.get(&told).copied().unwrap_or(0);
+    let sum = |f: fn(&super::services::Target) -> u64| world.targets.iter().map(f).sum::<u64>();
+    let fabric = world.fabric.counts();
+    let rows = [
+        ("feeds opened", figures.feeds),
+        ("feeds broken by planned changes", figures.broken_by_plan),
+        ("feeds broken by the killed VM", figures.broken_by_kill),
+        ("answers on feeds", sum(|target| target.packets.counts().answered)),
+        ("packets of clients through the fabric", fabric.from_clients),
+        ("packets lost by the fabric", fabric.lost),
+        ("packets duplicated by the fabric", fabric.duplicated),
+        ("packets reordered by the fabric", fabric.reordered),
+        ("segments at a target that did not know the flow", sum(|t| t.packets.counts().strays)),
+        ("requests (operations)", figures.requests),
+        ("submissions answered", told(Told::Answer)),
+        ("submissions refused as not run", told(Told::NotRun)),
+        ("submissions refused as unknown", told(Told::Unknown)),
+        ("submissions broken by the killed VM", told(Told::BrokenByKill)),
+        ("claims not submitted for want of a key", verdicts.keys_refused),
+        ("requests shed by targets", sum(|target| target.requests.counts().shed)),
+        ("requests lost", figures.lost),
+        ("requests run twice", figures.run_twice),
+        ("requests refused as not run that ran", figures.false_not_run),
+        ("packets, requests or answers misrouted", figures.misrouted),
+        ("sightings of an older document", figures.reverted),
+    ];
+    rows.iter().map(|(name, value)| format!("{name:<52}{value:>10}")).collect()
+}
--- a/crates/jasminecart-standin/src/errors.rs
+++ b/crates/jasminecart-standin/src/errors.rs
@@ -14,6 +14,9 @@
     /// A socket could not be bound or used.
     #[error("a stand-in cannot use a socket: {0}")]
     Io(#[from] io::Error),
+    /// An entry VM did not start.
+    #[error("an entry VM did not start: {0}")]
+    Entry(String),
     /// The task of a stand-in has ended.
     #[error("the task of a stand-in has ended")]
     Stopped,
--- a/crates/jasminecart-standin/src/lib.rs
+++ b/crates/jasminecart-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! targets and the network fabric GUE over UDP. Targets and clients record what they saw, and the figures of
 //! the demo come from these records. `docs/design.md`, section 14, lists the behaviours.
 
+pub mod demo;
 pub mod errors;
 pub mod fabric;
 pub mod feeds;
--- a/crates/jasminecart-standin/src/requests.rs
+++ b/crates/jasminecart-standin/src/requests.rs
@@ -43,6 +43,11 @@
         RequestEntry { name, address, is_killed: Arc::default() }
     }
 
+    /// Returns the address of the VM for requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Excuses the VM from answering. Call it before the VM is killed.
     pub fn mark_killed(&self) {
         self.is_killed.store(true, Ordering::SeqCst);
