Detect deaths of members by probes with suspicion and refutation

Cause: the first membership sent heartbeats to every peer and never removed one.

The `membership` case of `measure` drives it over a queue with delay, loss and duplication.

--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod faults;
 pub mod flows;
 pub mod membership;
+pub mod message_queue;
 pub mod report;
 pub mod requests;
--- a/crates/jasminecart-core/src/process/members.rs
+++ b/crates/jasminecart-core/src/process/members.rs
@@ -50,7 +50,7 @@
     pub address: PeerAddress,
     /// The highest document revision it has reported.
     pub revision: Revision,
-    /// When the reader last heard from it directly.
+    /// When the reader last heard from it directly; [`Millis::ZERO`] when it never did.
     pub heard_at: Millis,
 }
 
@@ -71,19 +71,30 @@
 pub struct Members {
     /// The VM that holds this list.
     pub me: VmId,
-    /// The members.
+    /// The members. Dead ones stay in the list for a minute, so that a reader can tell which share of the
+    /// members seen in the last minute is alive.
     pub list: Arc<[Member]>,
+    /// Live VMs of other data centres, as last summarised by these.
+    pub remote: Arc<[Member]>,
 }
 
 impl Members {
     /// Creates a list.
     pub fn new(me: VmId, list: impl Into<Arc<[Member]>>) -> Members {
-        Members { me, list: list.into() }
+        Members { me, list: list.into(), remote: Arc::from([]) }
     }
 
-    /// Returns a member by its identity.
+    /// Adds the VMs of other data centres.
+    pub fn with_remote(mut self, remote: impl Into<Arc<[Member]>>) -> Members {
+        self.remote = remote.into();
+        self
+    }
+
+    /// Returns a member, or a VM of another data centre, by its identity.
     pub fn get(&self, vm: &VmId) -> Option<&Member> {
-        self.list.iter().find(|member| member.vm == *vm)
+        let list = if vm.data_centre == self.me.data_centre { &self.list } else { &self.remote };
+        let found = list.binary_search_by(|member| member.vm.cmp(vm)).ok()?;
+        list.get(found)
     }
 
     /// Returns the members that may own flows and slots.
--- /dev/null
+++ b/crates/jasminecart-core/src/process/rendezvous.rs
@@ -0,0 +1,34 @@
+//! Rendezvous hashing over VMs, and the probe ring.
+
+use std::hash::{Hash, Hasher};
+
+use siphasher::sip::SipHasher13;
+
+use crate::names::VmId;
+
+/// Hashes a value with a fixed key, so that every VM computes the same result.
+pub(crate) fn hash(value: impl Hash) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(0, 0);
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns all VMs in the order of their scores for a purpose, the highest first.
+pub(crate) fn ranked<'a>(purpose: &str, vms: impl IntoIterator<Item = &'a VmId>) -> Vec<&'a VmId> {
+    let mut ranked: Vec<&VmId> = vms.into_iter().collect();
+    ranked.sort_by_cached_key(|vm| std::cmp::Reverse(hash((purpose, vm))));
+    ranked
+}
+
+/// Returns the VM that stands `distance` places after `me` on a ring ordered by hash. The order is by hash
+/// because neighbours by name often share a rack and fail together.
+pub(super) fn successor<'a>(
+    me: &VmId,
+    others: impl IntoIterator<Item = &'a VmId>,
+    distance: usize,
+) -> Option<&'a VmId> {
+    let mut ring: Vec<(u64, &VmId)> = others.into_iter().map(|vm| (hash(vm), vm)).collect();
+    ring.sort();
+    let next = ring.partition_point(|(position, vm)| (*position, *vm) < (hash(me), me));
+    (distance <= ring.len()).then(|| ring[(next + distance - 1) % ring.len()].1)
+}
