--- a/crates/jasminecart-bench/src/faults/flows.rs
+++ b/crates/jasminecart-bench/src/faults/flows.rs
@@ -1,6 +1,7 @@
 //! Simulated clients with open flows, and the fabric that hands each packet to any VM.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 
 use jasminecart_core::flow::{FlowKey, FlowPacket, PacketKind, Route};
@@ -19,6 +20,10 @@
 const REPAIR_TIME: Millis = Millis::from_secs(60);
 /// After the end of a cut inside a data centre the views need this time to agree.
 const CUT_RECOVERY: Millis = Millis::from_secs(15);
+/// The decisions about a flow that are kept.
+const MAX_TRACE: usize = 12;
+/// How long a client waits before it sends a SYN or FIN again.
+const RETRANSMISSION: Millis = Millis::from_secs(1);
 /// The bound of I6, from publication.
 const DRAIN_BOUND: Millis = Millis::from_secs(5);
 
@@ -26,17 +31,39 @@
 #[derive(Clone, Debug)]
 pub(super) struct Flow {
     key: FlowKey,
-    service: usize,
     data_centre: usize,
     /// The target that took the SYN.
     target: Option<Name>,
-    /// Grows when the client port is used again.
+    /// Differs for each connection of a run, even when it uses a client port again.
     generation: u64,
     next_packet: Millis,
     /// The mean span between packets; some feeds are idle for minutes.
     period: Millis,
     ends_at: Millis,
     broken: bool,
+    /// The last decisions about the flow, to find the cause of a violation.
+    trace: VecDeque<Decision>,
+}
+
+/// What one VM did with one packet.
+#[derive(Clone, Debug)]
+struct Decision {
+    at: Millis,
+    vm: usize,
+    kind: PacketKind,
+    route: Route,
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Decision { at, vm, kind, .. } = self;
+        write!(f, "{} vm-{vm} {kind:?} -> ", at.get())?;
+        match &self.route {
+            Route::Target { target, .. } => write!(f, "{target}"),
+            Route::Peer { vm, header, .. } => write!(f, "{} (hop {})", vm.name, header.hops),
+            Route::Drop(reason) => write!(f, "{reason:?}"),
+        }
+    }
 }
 
 /// All flows of the run.
@@ -44,6 +71,7 @@
 pub(super) struct FlowClients {
     flows: Vec<Flow>,
     next_port: u16,
+    next_generation: u64,
     /// The times of abrupt deaths, by data centre.
     pub(super) deaths: BTreeMap<usize, Vec<Millis>>,
     /// Until when a cut inside a data centre excuses a broken flow.
@@ -66,7 +94,14 @@
     }
 
     fn open_flow(&mut self) {
+        let flow = self.new_flow();
+        self.flows.flows.push(flow);
+        self.verdict.flows += 1;
+    }
+
+    fn new_flow(&mut self) -> Flow {
         let now = self.now;
+        self.flows.next_generation += 1;
         self.flows.next_port = self.flows.next_port.wrapping_add(1);
         let service = usize::from(self.rng.random_bool(0.3));
         let data_centre = self.rng.random_range(0..DATA_CENTRES.len());
@@ -78,32 +113,31 @@
         };
         let period = [200, 1_000, 10_000, 120_000][self.rng.random_range(0..4)];
         let life = if self.rng.random_bool(0.5) { 3_600_000 } else { 20_000 };
-        let flow = Flow {
+        Flow {
             key,
-            service,
             data_centre,
             target: None,
-            generation: 0,
+            generation: self.flows.next_generation,
             next_packet: now,
             period: Millis(period),
             ends_at: now + Millis(life),
             broken: false,
-        };
-        self.flows.flows.push(flow);
-        self.verdict.flows += 1;
+            trace: VecDeque::new(),
+        }
     }
 
     fn send_packet(&mut self, index: usize) {
         let now = self.now;
         let wait = Millis(self.rng.random_range(1..=2 * self.flows.flows[index].period.get()));
+        if self.flows.flows[index].broken {
+            return self.replace_flow(index);
+        }
         let flow = &mut self.flows.flows[index];
-        let kind = if flow.broken {
-            flow.restart(now, wait);
-            return;
-        } else if flow.target.is_none() {
-            flow.next_packet = now + Millis::from_secs(1);
+        let kind = if flow.target.is_none() {
+            flow.next_packet = now + RETRANSMISSION;
             PacketKind::Syn
         } else if flow.ends_at <= now {
+            flow.next_packet = now + RETRANSMISSION;
             PacketKind::Fin
         } else {
             flow.next_packet = now + wait;
@@ -116,11 +150,13 @@
         if kind == PacketKind::Syn && self.rng.random_bool(0.1) {
             self.spray(index, generation, packet);
         }
-        let flow = &mut self.flows.flows[index];
-        if kind == PacketKind::Fin {
-            flow.restart(now, wait);
-            self.verdict.flows += 1;
-        }
+    }
+
+    // A client whose flow broke connects again from another port.
+    fn replace_flow(&mut self, index: usize) {
+        let replacement = self.new_flow();
+        self.flows.flows[index] = replacement;
+        self.verdict.flows += 1;
     }
 
     fn spray(&mut self, flow: usize, generation: u64, packet: FlowPacket) {
@@ -167,7 +203,13 @@
             return;
         }
         let Some(process) = self.vms[vm].process.as_mut() else { return };
-        match process.router.route(now, &packet) {
+        let route = process.router.route(now, &packet);
+        self.note(
+            flow,
+            generation,
+            Decision { at: now, vm, kind: packet.kind, route: route.clone() },
+        );
+        match route {
             Route::Target { service, target, .. } => {
                 self.arrive(vm, flow, generation, &packet, &service, &target);
             }
@@ -182,6 +224,17 @@
         }
     }
 
+    fn note(&mut self, flow: usize, generation: u64, decision: Decision) {
+        let flow = &mut self.flows.flows[flow];
+        if flow.generation != generation {
+            return;
+        }
+        if flow.trace.len() == MAX_TRACE {
+            flow.trace.pop_front();
+        }
+        flow.trace.push_back(decision);
+    }
+
     fn arrive(
         &mut self,
         vm: usize,
@@ -194,11 +247,13 @@
         let now = self.now;
         let flow = &self.flows.flows[index];
         let published = self.platform.targets.get(target);
-        if service.as_str() != SERVICES[flow.service]
+        let expected =
+            (0..SERVICES.len()).find(|at| service_address(*at) == packet.key.destination);
+        if expected.is_none_or(|at| service.as_str() != SERVICES[at])
             || published.is_some_and(|published| published.service != *service)
         {
             self.verdict.misrouted += 1;
-            let text = format!("{:?} reached {target} of {service}", flow.key);
+            let text = format!("{:?} reached {target} of {service}", packet.key);
             self.verdict.violate(now, "I2", text);
             return;
         }
@@ -215,10 +270,21 @@
                 let text = format!("{:?} moved from {known} to {target}", flow.key);
                 self.break_flow(index, vm, &text);
             }
+            (Some(_), PacketKind::Fin) => self.close_flow(index),
             _ => {}
         }
     }
 
+    // The FIN arrived, and the client uses its port again, soon or late.
+    fn close_flow(&mut self, index: usize) {
+        let wait = Millis(self.rng.random_range(1..=2 * self.flows.flows[index].period.get()));
+        let now = self.now;
+        self.flows.next_generation += 1;
+        let generation = self.flows.next_generation;
+        self.flows.flows[index].restart(now, wait, generation);
+        self.verdict.flows += 1;
+    }
+
     fn accept_flow(&mut self, vm: usize, index: usize, target: &Name) {
         let now = self.now;
         let flow = &mut self.flows.flows[index];
@@ -239,6 +305,21 @@
         }
     }
 
+    // What each VM of the data centre would do with the flow, the one that broke it first.
+    fn explain_flow(&self, last: usize, index: usize) -> String {
+        let flow = &self.flows.flows[index];
+        let of_data_centre = |vm: &usize| vm % DATA_CENTRES.len() == flow.data_centre;
+        let others = (0..self.vms.len()).filter(|vm| *vm != last).filter(of_data_centre);
+        let explain = |vm: usize| {
+            let vm = &self.vms[vm];
+            let process = vm.process.as_ref()?;
+            let explanation = process.router.explain(self.now, &flow.key);
+            let revision = process.highest;
+            Some(format!("{} at revision {revision}: {}", vm.id, explanation.reason))
+        };
+        std::iter::once(last).chain(others).filter_map(explain).collect::<Vec<_>>().join("; ")
+    }
+
     fn break_flow(&mut self, index: usize, vm: usize, text: &str) {
         let now = self.now;
         let flow = &mut self.flows.flows[index];
@@ -258,17 +339,21 @@
             self.verdict.broken_by_cut += 1;
         } else {
             self.verdict.broken_by_plan += 1;
-            let text = format!("{text}, seen at {} after {deaths} deaths", self.vms[vm].id);
+            let explanations = self.explain_flow(vm, index);
+            let trace = &self.flows.flows[index].trace;
+            let trace: Vec<String> = trace.iter().map(Decision::to_string).collect();
+            let trace = trace.join(", ");
+            let text = format!("{text} after {deaths} deaths; {explanations}; decisions: {trace}");
             self.verdict.violate(now, "I1", text);
         }
     }
 }
 
 impl Flow {
-    // The same client port is used again, soon or late.
-    fn restart(&mut self, now: Millis, wait: Millis) {
+    fn restart(&mut self, now: Millis, wait: Millis, generation: u64) {
         self.target = None;
-        self.generation += 1;
+        self.trace.clear();
+        self.generation = generation;
         self.broken = false;
         self.next_packet = now + wait;
         self.ends_at = now + wait + Millis::from_secs(30);
--- a/crates/jasminecart-bench/src/faults/world.rs
+++ b/crates/jasminecart-bench/src/faults/world.rs
@@ -173,8 +173,14 @@
     }
 
     fn become_ready(&mut self, index: usize) {
+        let now = self.now;
         let Some(process) = self.vms[index].process.as_mut() else { return };
-        process.ready |= process.adoption.is_ready();
+        if process.ready || !process.adoption.is_ready() || !process.router.is_ready(now) {
+            return;
+        }
+        process.ready = true;
+        let events = process.membership.set_ready(now);
+        self.apply_events(index, events);
     }
 
     fn poll_platform(&mut self, index: usize) {
@@ -267,6 +273,11 @@
             match event {
                 MemberEvent::Changed(members) => self.set_members(index, &members),
                 MemberEvent::Message(outgoing) => self.send_all(index, vec![outgoing]),
+                MemberEvent::Suspected(_)
+                | MemberEvent::Died(_)
+                | MemberEvent::Joined(_)
+                | MemberEvent::Left(_)
+                | MemberEvent::Refuted(_) => {}
             }
         }
     }
--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod faults;
 pub mod flows;
 pub mod membership;
+pub mod message_queue;
 pub mod packets;
 pub mod report;
 pub mod requests;
