Let a VM join once its router is ready

In the demo 16 of 190 feeds broke when an entry VM was replaced. No VM ever left the joining state, because nothing called Membership::set_ready, so routers had no peer to learn generations from and used their own newest table as the base. The packet listener now tells when its router is ready, and the control actor ends the joining state then.

--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -13,7 +13,7 @@
 };
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{Adoption, AdoptionAlert, Document, Revision, Step};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{Context, Handler};
 
 use super::peers::Peers;
@@ -43,6 +43,7 @@
     pub(crate) seeds: Vec<jasminecart_core::process::VmHint>,
     pub(crate) platform: Platform,
     pub(crate) packets: mpsc::Sender<PacketCommand>,
+    pub(crate) packets_ready: watch::Receiver<bool>,
     pub(crate) documents: Documents,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) stop_within: Millis,
@@ -62,6 +63,8 @@
     packets_drained: Option<oneshot::Receiver<()>>,
     unsent_leave: Option<oneshot::Sender<()>>,
     ready: bool,
+    /// Whether membership was told that this VM may own flows and slots.
+    joined: bool,
     leaving: bool,
     last_tick: Millis,
 }
@@ -79,6 +82,7 @@
             packets_drained: None,
             unsent_leave: None,
             ready: false,
+            joined: false,
             leaving: false,
             last_tick: parts.clock.now(),
             parts,
@@ -280,6 +284,16 @@
         }
     }
 
+    /// Ends the joining state once this VM has the document, the generations and its share of the entries.
+    fn join(&mut self, now: Millis) {
+        let able = self.parts.adoption.is_ready() && *self.parts.packets_ready.borrow();
+        if able && !self.joined {
+            self.joined = true;
+            let events = self.parts.membership.set_ready(now);
+            self.take_events(events);
+        }
+    }
+
     fn note_ready(&mut self) {
         let ready = self.parts.adoption.is_ready() && !self.leaving;
         if ready != self.ready {
@@ -423,6 +437,7 @@
         self.take_actions(actions);
         self.flush_packets();
         self.note_ready();
+        self.join(now);
     }
 }
 
--- a/crates/jasminecart-entry/src/entry.rs
+++ b/crates/jasminecart-entry/src/entry.rs
@@ -256,6 +256,7 @@
                 self.metrics.clone(),
             ),
             packets: packets.commands(),
+            packets_ready: packets.ready(),
             documents,
             metrics: self.metrics.clone(),
             stop_within: settings.limits.stop_within,
--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -20,7 +20,7 @@
 use jasminecart_packet::{Content, Origin, PacketError, ttl};
 use socket2::SockRef;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Interval, MissedTickBehavior};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -95,8 +95,6 @@
     pub receive_failed: u64,
     /// Messages to peers that were lost because the queue to the control actor was full.
     pub messages_lost: u64,
-    /// Whether the router has what an owner of flows needs, so that a joining VM may become active.
-    pub is_ready: bool,
     /// The counts of the router.
     pub flow: FlowCounters,
 }
@@ -106,6 +104,7 @@
 pub struct PacketListener {
     commands: mpsc::Sender<PacketCommand>,
     addresses: (SocketAddr, SocketAddr),
+    ready: watch::Receiver<bool>,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -125,6 +124,7 @@
         let peers = bind(cfg.peer_packets).await?;
         let addresses = (fabric.local_addr()?, peers.local_addr()?);
         let (commands, rx) = mpsc::channel(COMMANDS);
+        let (is_ready, ready) = watch::channel(false);
         let task = PacketTask {
             clock,
             router,
@@ -132,13 +132,14 @@
             peers,
             outgoing,
             commands: rx,
+            is_ready,
             drained: None,
             buf: vec![0; FORWARD_BYTES + MAX_DATAGRAM_BYTES].into_boxed_slice(),
             refused: [0; PacketError::ALL.len()],
             counters: PacketCounters::default(),
         };
         let _task = AbortOnDropHandle::new(tokio::spawn(task.run()));
-        Ok(PacketListener { commands, addresses, _task })
+        Ok(PacketListener { commands, addresses, ready, _task })
     }
 
     /// Returns the channel for inputs of the packet task.
@@ -146,6 +147,11 @@
         self.commands.clone()
     }
 
+    /// Tells whether the router has what an owner of flows needs, so that a joining VM may become active.
+    pub fn ready(&self) -> watch::Receiver<bool> {
+        self.ready.clone()
+    }
+
     /// Returns the bound addresses for packets from the fabric and from other entry VMs.
     pub fn addresses(&self) -> (SocketAddr, SocketAddr) {
         self.addresses
@@ -165,6 +171,7 @@
     peers: UdpSocket,
     outgoing: mpsc::Sender<Outgoing>,
     commands: mpsc::Receiver<PacketCommand>,
+    is_ready: watch::Sender<bool>,
     drained: Option<oneshot::Sender<()>>,
     /// A datagram behind enough room for the longest header that can replace the received one.
     buf: Box<[u8]>,
@@ -191,8 +198,13 @@
     }
 
     fn on_tick(&mut self) {
-        let messages = self.router.tick(self.clock.now());
+        let now = self.clock.now();
+        let messages = self.router.tick(now);
         self.send_messages(messages);
+        self.is_ready.send_if_modified(|is_ready| {
+            let was_ready = std::mem::replace(is_ready, self.router.is_ready(now));
+            was_ready != *is_ready
+        });
     }
 
     fn on_command(&mut self, command: PacketCommand) {
@@ -307,7 +319,6 @@
         let refused = PacketError::ALL.iter().zip(self.refused);
         PacketCounters {
             refused: refused.map(|(error, count)| (error.counter(), count)).collect(),
-            is_ready: self.router.is_ready(self.clock.now()),
             flow: self.router.measure().clone(),
             ..self.counters.clone()
         }
