Run entry VMs and the demo from the command line

Cause: the thin path stood in libraries only.

Change: commands `entry` (with `--check`) and `demo` (with `--seed` and `--hold`).

--- a/crates/jasminecart-core/src/process/limits.rs
+++ b/crates/jasminecart-core/src/process/limits.rs
@@ -1,7 +1,6 @@
 //! Bounds, periods and counters of membership.
 
 use crate::time::Millis;
-use serde::Serialize;
 
 /// Bounds and periods of membership.
 #[derive(Clone, Debug)]
@@ -100,7 +99,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct MemberCounters {
     /// Messages received.
     pub received: u64,
--- a/crates/jasminecart/src/command.rs
+++ b/crates/jasminecart/src/command.rs
@@ -5,7 +5,11 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use jasminecart_core::ini::Problem;
 use jasminecart_core::version::compare;
+use jasminecart_entry::logging;
+use jasminecart_entry::settings::Settings;
+use jasminecart_standin::demo::{self, DemoOptions};
 
 use crate::errors::Result;
 use crate::{files, operators};
@@ -37,6 +41,30 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run an entry VM until SIGTERM or SIGINT, then stop it without cutting off requests
+    ///
+    /// Exit code 1 if the settings are invalid or the stop cut something off.
+    #[bpaf(command)]
+    Entry {
+        /// Only check the settings
+        #[bpaf(long)]
+        check: bool,
+        /// The settings of the process
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+    /// Run a whole environment in this process on loopback, with planned changes and failures
+    ///
+    /// Ends within 60 s with a table and a line of JSON. Exit code 1 if a promise was broken.
+    #[bpaf(command)]
+    Demo {
+        /// Seed that varies the run
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Keep the environment up afterwards and print its addresses
+        #[bpaf(long)]
+        hold: bool,
+    },
     /// Check a document and print all its problems, each with line, section and key (exit code 1 if any)
     #[bpaf(command)]
     Check {
@@ -100,6 +128,9 @@
 /// Carries out a command.
 pub async fn run(command: Command) -> Exit {
     let result = match command {
+        Command::Entry { check: true, settings } => check_settings(&settings),
+        Command::Entry { check: false, settings } => entry(&settings).await,
+        Command::Demo { seed, hold } => demo(seed, hold).await,
         Command::Check { document } => check(&document),
         Command::Digest { document } => digest(&document),
         Command::Compare { old, new } => compare_files(&old, &new),
@@ -112,6 +143,44 @@
     })
 }
 
+fn read_settings(path: &Path) -> Result<Option<Settings>> {
+    match Settings::parse(&files::read(path)?) {
+        Ok(settings) => Ok(Some(settings)),
+        Err(errors) => {
+            print_problems(path, &errors.problems);
+            Ok(None)
+        }
+    }
+}
+
+fn check_settings(path: &Path) -> Result<Exit> {
+    let Some(settings) = read_settings(path)? else { return Ok(Exit::Negative) };
+    println!("{}: valid settings of {}", path.display(), settings.me);
+    Ok(Exit::Success)
+}
+
+async fn entry(path: &Path) -> Result<Exit> {
+    let Some(settings) = read_settings(path)? else { return Ok(Exit::Negative) };
+    logging::init(&settings.log);
+    let report = jasminecart_entry::run(settings).await?;
+    Ok(if report.drained && report.cut_off == 0 { Exit::Success } else { Exit::Negative })
+}
+
+async fn demo(seed: u64, hold: bool) -> Result<Exit> {
+    let options = DemoOptions::new(seed).with_hold(hold).with_progress(|line| println!("{line}"));
+    let report = demo::run(options).await?;
+    if !hold {
+        report.lines().iter().for_each(|line| println!("{line}"));
+    }
+    Ok(if report.is_kept() { Exit::Success } else { Exit::Negative })
+}
+
+fn print_problems(path: &Path, problems: &[Problem]) {
+    for problem in problems {
+        println!("{}: {problem}", path.display());
+    }
+}
+
 fn check(path: &Path) -> Result<Exit> {
     Ok(match files::read_document(path)? {
         Ok(document) => {
@@ -120,9 +189,7 @@
             Exit::Success
         }
         Err(errors) => {
-            for problem in &errors.problems {
-                println!("{}: {problem}", path.display());
-            }
+            print_problems(path, &errors.problems);
             Exit::Negative
         }
     })
--- a/crates/jasminecart/src/errors.rs
+++ b/crates/jasminecart/src/errors.rs
@@ -28,6 +28,12 @@
         /// The position of the first byte that is not UTF-8.
         position: usize,
     },
+    /// The entry daemon could not run.
+    #[error(transparent)]
+    Entry(#[from] jasminecart_entry::Error),
+    /// The demo could not run.
+    #[error(transparent)]
+    Demo(#[from] jasminecart_standin::Error),
     /// A daemon did not answer.
     #[error("no answer from the operators' listener at {address}: {cause}")]
     NoAnswer {
