--- a/crates/jasminecart-standin/src/requests.rs
+++ b/crates/jasminecart-standin/src/requests.rs
@@ -181,7 +181,7 @@
         let key = match kind {
             // Without a key the claim is not submitted, so it counts as no operation.
             Kind::Claim { has_key: true } => match self.issue_key().await {
-                Some(key) => Some(key),
+                Some(key) => Some(key.trim().to_owned()),
                 None => return self.log.refuse_key(),
             },
             _ => None,
@@ -200,13 +200,20 @@
     }
 
     async fn issue_key(&mut self) -> Option<String> {
-        let entry = self.cfg.entries.choose(&mut self.rng)?;
-        let req = request(Method::POST, &self.cfg.claims_host, KEYS_PATH);
-        let req = req.body(Full::default()).ok()?;
-        let sent = http_io::send(entry.address, self.version(), req);
-        let answer = tokio::time::timeout(PATIENCE, sent).await.ok()?.ok()?;
-        let text = String::from_utf8(answer.body.to_vec()).ok()?;
-        answer.parts.status.is_success().then(|| text.trim().to_owned())
+        for _ in 0..MAX_CONNECTS {
+            let entry = self.cfg.entries.choose(&mut self.rng)?;
+            let req = request(Method::POST, &self.cfg.claims_host, KEYS_PATH);
+            let req = req.body(Full::default()).ok()?;
+            let sent = http_io::send(entry.address, self.version(), req);
+            match tokio::time::timeout(PATIENCE, sent).await {
+                Ok(Ok(answer)) if answer.parts.status.is_success() => {
+                    return String::from_utf8(answer.body.to_vec()).ok();
+                }
+                Ok(Err(SendError::NotConnected)) => tokio::time::sleep(CONNECT_PAUSE).await,
+                _ => return None,
+            }
+        }
+        None
     }
 
     fn version(&mut self) -> Version {
