Report attempts and broken bodies exactly, and test them

Cause: hyper ends an HTTP/2 body without an error when its stream is reset with NO_ERROR or cut off by a GOAWAY with NO_ERROR, so a short answer or upload looked complete. The version of HTTP of a target could not be stated.

--- a/crates/jasminecart-core/src/version/compare.rs
+++ b/crates/jasminecart-core/src/version/compare.rs
@@ -70,6 +70,8 @@
     push(changes, old.shed_statuses != new.shed_statuses, shed);
     let timeout = format!("service {name} changes its progress timeout");
     push(changes, old.progress_timeout != new.progress_timeout, timeout);
+    let http = format!("service {name} changes the version of HTTP of its targets");
+    push(changes, old.http2 != new.http2, http);
 }
 
 fn target_changes(old: &Target, new: &Target, changes: &mut Vec<Change>) {
--- a/crates/jasminecart-core/src/version/document.rs
+++ b/crates/jasminecart-core/src/version/document.rs
@@ -97,6 +97,8 @@
     pub shed_statuses: Vec<u16>,
     /// The longest span without progress on a request before it counts as silent.
     pub progress_timeout: Millis,
+    /// Whether its targets speak HTTP/2 with prior knowledge instead of HTTP/1.1.
+    pub http2: bool,
 }
 
 /// Whether a target takes new work.
--- a/crates/jasminecart-core/src/version/parse.rs
+++ b/crates/jasminecart-core/src/version/parse.rs
@@ -102,6 +102,13 @@
         progress_timeout: section
             .optional(problems, "progress_timeout", SPAN, parse_span)
             .unwrap_or(Millis::from_secs(30)),
+        http2: section
+            .optional(problems, "http", "\"1\" or \"2\"", |text| match text {
+                "1" => Some(false),
+                "2" => Some(true),
+                _ => None,
+            })
+            .unwrap_or(false),
     }
 }
 
--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -300,7 +300,9 @@
     type Return = ();
 
     async fn handle(&mut self, submit: Submit, _cx: &mut Context<Self>) {
-        if !self.parts.adoption.is_ready() {
+        // A keyed request may still be forwarded to the successor of a leaving VM.
+        let leaving = self.leaving && submit.meta.key.is_none();
+        if leaving || !self.parts.adoption.is_ready() {
             let refusal = Refusal { state: RunState::NotRun, reason: RefusalReason::NotReady };
             let _ = submit.directives.send(Directive::Refuse(refusal));
             return;
--- a/crates/jasminecart-entry/src/entry.rs
+++ b/crates/jasminecart-entry/src/entry.rs
@@ -288,13 +288,16 @@
         self.requests.finish();
         let _ = tokio::time::timeout(CLOSE_WITHIN, self.close_connections()).await;
         log::info!(event = "stop_ended", vm = vm.as_str(), drained = drained, cut_off = cut_off; "the planned stop ended");
-        self.kill();
+        self.kill().await;
         StopReport { drained, cut_off }
     }
 
-    /// Ends the VM abruptly: all tasks are dropped and all connections break.
-    pub fn kill(self) {
+    /// Ends the VM abruptly: all tasks are dropped and all connections break. Its addresses are free when
+    /// this returns.
+    pub async fn kill(self) {
+        let tasks = self.tasks.clone();
         drop(self);
+        tasks.wait().await;
     }
 
     /// A planned stop may take `stop_within`, or the longest deadline of the document when that is longer,
--- a/crates/jasminecart-entry/src/metrics.rs
+++ b/crates/jasminecart-entry/src/metrics.rs
@@ -130,6 +130,8 @@
     messages_from_self,
     /// Times that the control actor found its own event loop paused.
     control_pauses,
+    /// Requests refused before dispatch, such as for an unknown host or a malformed header.
+    requests_not_admitted,
     /// Directives that were refused because they would run a request twice.
     second_runs_refused,
 }
@@ -246,13 +248,18 @@
         Group { prefix, values: serde_json::to_value(counters).unwrap_or_default(), gauge: false }
     }
 
-    pub(crate) fn gauge(name: &'static str, value: impl Into<Value>) -> Group {
-        let values = serde_json::json!({ name: value.into() });
-        Group { prefix: "", values, gauge: true }
+    /// Leaves out a field that is exported as a group of its own.
+    pub(crate) fn without(mut self, field: &str) -> Group {
+        if let Value::Object(fields) = &mut self.values {
+            fields.remove(field);
+        }
+        self
     }
 
-    pub(crate) fn gauges(prefix: &'static str, values: &impl Serialize) -> Group {
-        Group { prefix, values: serde_json::to_value(values).unwrap_or_default(), gauge: true }
+    /// Exports a number, or each number of a structure with its field as the label `kind`.
+    pub(crate) fn gauge(name: &'static str, value: impl Serialize) -> Group {
+        let values = serde_json::json!({ name: serde_json::to_value(value).unwrap_or_default() });
+        Group { prefix: "", values, gauge: true }
     }
 }
 
--- a/crates/jasminecart-entry/src/operators.rs
+++ b/crates/jasminecart-entry/src/operators.rs
@@ -125,10 +125,11 @@
             groups.push(Group::counters("peer_links", &counts.links));
             groups.push(Group::gauge("document_revision", counts.revision));
             groups.push(Group::gauge("ready", u64::from(counts.ready)));
-            groups.push(Group::gauges("members", &counts.members_by_state));
+            groups.push(Group::gauge("members", counts.members_by_state));
         }
         if let Some(counters) = self.packet_counters().await {
             groups.push(Group::counters("flow", &counters.flow));
+            groups.push(Group::counters("packet", &counters).without("flow"));
         }
         let mut response = text(StatusCode::OK, "");
         *response.body_mut() = Full::from(self.metrics.encode(groups));
--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -57,7 +57,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, serde::Serialize)]
 pub struct PacketCounters {
     /// The counts of the router.
     pub flow: FlowCounters,
--- a/crates/jasminecart-entry/src/request/body.rs
+++ b/crates/jasminecart-entry/src/request/body.rs
@@ -32,6 +32,13 @@
     Answer,
 }
 
+/// Tells whether a body that has no more frames is complete. Hyper ends an HTTP/2 body without an error when
+/// the stream was reset with NO_ERROR, or a GOAWAY with NO_ERROR cut it off, so a short body would look
+/// complete. On HTTP/1 hyper reports every early end as an error.
+pub(crate) fn is_complete(body: &Incoming, http2: bool) -> bool {
+    !http2 || body.is_end_stream()
+}
+
 /// What one attempt moves, for its progress deadline.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -80,15 +87,17 @@
 #[derive(Debug)]
 pub(crate) struct Upload {
     body: Mutex<Incoming>,
+    http2: bool,
     left: AtomicU64,
     started: AtomicBool,
     failure: Mutex<Option<BodyError>>,
 }
 
 impl Upload {
-    pub(crate) fn new(body: Incoming, max_body: u64) -> Arc<Upload> {
+    pub(crate) fn new(body: Incoming, http2: bool, max_body: u64) -> Arc<Upload> {
         Arc::new(Upload {
             body: Mutex::new(body),
+            http2,
             left: AtomicU64::new(max_body),
             started: AtomicBool::new(false),
             failure: Mutex::new(None),
@@ -103,10 +112,11 @@
     fn poll_frame(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.started.store(true, Ordering::Relaxed);
         let mut body = self.body.lock().unwrap_or_else(PoisonError::into_inner);
-        let Some(frame) = ready!(Pin::new(&mut *body).poll_frame(cx)) else {
-            return Poll::Ready(None);
+        let frame = match ready!(Pin::new(&mut *body).poll_frame(cx)) {
+            None if is_complete(&body, self.http2) => return Poll::Ready(None),
+            None | Some(Err(_)) => Err(BodyError::Client),
+            Some(Ok(frame)) => self.admit(frame),
         };
-        let frame = frame.map_err(|_| BodyError::Client).and_then(|frame| self.admit(frame));
         if let Err(e) = frame {
             *self.failure.lock().unwrap_or_else(PoisonError::into_inner) = Some(e);
         }
--- a/crates/jasminecart-entry/src/request/listener.rs
+++ b/crates/jasminecart-entry/src/request/listener.rs
@@ -207,7 +207,7 @@
         return issue_key(&cx, req.method()).await;
     }
     let Ok(permit) = cx.permits.clone().try_acquire_owned() else {
-        return AdmissionError::TooManyRequests.response();
+        return refuse(&cx, &AdmissionError::TooManyRequests);
     };
     let guard = GaugeGuard::new(&cx.metrics.gauges, |g| &g.requests_in_progress);
     let arrived = cx.clock.now();
@@ -219,7 +219,7 @@
     };
     let prepared = match prepared {
         Ok(prepared) => prepared,
-        Err(e) => return e.response(),
+        Err(e) => return refuse(&cx, &e),
     };
     let (reply, head) = oneshot::channel();
     let (directives, inbox) = mpsc::unbounded_channel::<Directive>();
@@ -250,6 +250,11 @@
     })
 }
 
+fn refuse(cx: &RequestContext, e: &AdmissionError) -> Response<ClientBody> {
+    count(&cx.metrics.counters.requests_not_admitted);
+    e.response()
+}
+
 struct Prepared {
     admitted: Admitted,
     request: TargetRequest,
@@ -264,7 +269,8 @@
 ) -> Result<Prepared, AdmissionError> {
     let max_body = admitted.document.limits().max_body;
     let left = admitted.meta.deadline.since(cx.clock.now());
-    let payload = read_payload(body, max_body, left).await?;
+    let http2 = parts.version == Version::HTTP_2;
+    let payload = read_payload(body, http2, max_body, left).await?;
     admitted.meta.repeatable = payload.is_repeatable();
     let hops = forwards(&parts.headers);
     let mut headers = parts.headers;
@@ -298,6 +304,7 @@
 /// Keeps a small body whole and leaves any other to be streamed.
 async fn read_payload(
     body: Incoming,
+    http2: bool,
     max_body: u64,
     left: Millis,
 ) -> Result<Payload, AdmissionError> {
@@ -308,13 +315,17 @@
     if size.is_some_and(|size| size > max_body) {
         return Err(AdmissionError::BodyTooLarge(max_body));
     }
-    if size.is_none_or(|size| size > MAX_KEPT_BODY_BYTES) {
-        return Ok(Payload::Stream(Upload::new(body, max_body)));
-    }
+    let Some(size) = size.filter(|size| *size <= MAX_KEPT_BODY_BYTES) else {
+        return Ok(Payload::Stream(Upload::new(body, http2, max_body)));
+    };
     let most = usize::try_from(MAX_KEPT_BODY_BYTES).unwrap_or(usize::MAX);
     let whole = Limited::new(body, most).collect();
     match tokio::time::timeout(left.into(), whole).await {
-        Ok(Ok(whole)) => Ok(Payload::Kept(whole.to_bytes())),
+        Ok(Ok(whole)) => {
+            let bytes = whole.to_bytes();
+            let complete = bytes.len() as u64 == size;
+            complete.then_some(Payload::Kept(bytes)).ok_or(AdmissionError::BodyLate)
+        }
         Ok(Err(_)) | Err(_) => Err(AdmissionError::BodyLate),
     }
 }
--- a/crates/jasminecart-entry/src/request/run.rs
+++ b/crates/jasminecart-entry/src/request/run.rs
@@ -17,13 +17,14 @@
     AttemptId, FailureCause, NotRunCause, Outcome, Refusal, RefusalReason, RunState,
 };
 use jasminecart_core::time::Millis;
+use jasminecart_core::version::Service;
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use super::admission::Admitted;
 use super::answers::{AnswerCopy, RequestIdentity, StoredAnswer};
 use super::attempt::{Answer, AttemptEnd, AttemptPlan, TargetRequest, attempt};
-use super::body::{BodyError, ClientBody, MAX_WAITING_PARTS, Part};
+use super::body::{BodyError, ClientBody, MAX_WAITING_PARTS, Part, is_complete};
 use super::headers::{FORWARDED_HEADER, prepare_answer, set_number};
 use super::listener::RequestContext;
 use super::reply;
@@ -142,6 +143,7 @@
                 Next::ClientGone => Some(self.cancel().await),
                 Next::Directive(Some(directive)) => self.obey(directive).await,
                 Next::Directive(None) => {
+                    self.cancel().await;
                     Some(self.refuse(RunState::NotRun, RefusalReason::NotReady))
                 }
                 Next::Ended(id, end) => self.on_end(id, end).await,
@@ -253,6 +255,8 @@
     }
 
     async fn on_refusal(&mut self, refusal: Refusal) -> Ending {
+        let truthful = refusal.state == RunState::Unknown || !self.attempts.may_have_run;
+        invariant!(truthful, "a request that may have run was to be refused as not run");
         let ended = self.attempts.cancel_all(&self.cx.metrics.counters.answers_late).await;
         for (id, outcome) in ended {
             self.cx.report(id, outcome).await;
@@ -272,6 +276,11 @@
     fn refuse(&mut self, state: RunState, reason: RefusalReason) -> Ending {
         let state = self.state(state);
         let meta = &self.admitted.meta;
+        let late = self.cx.clock.now() >= meta.deadline;
+        let reason = match reason {
+            RefusalReason::AttemptFailed if late => RefusalReason::Deadline,
+            reason => reason,
+        };
         let (service, reason_text) = (meta.service.as_str(), format!("{reason:?}"));
         let (vm, outcome) = (self.cx.vm.as_str(), reply::outcome_text(state));
         let revision = self.admitted.document.revision().0;
@@ -387,7 +396,8 @@
         mut copy: AnswerCopy,
         tx: mpsc::Sender<Part>,
     ) -> Ending {
-        match self.pump(id, &mut body, &mut copy, &tx).await {
+        let http2 = lease.version() == Version::Http2;
+        match self.pump(id, (&mut body, http2), &mut copy, &tx).await {
             PumpEnd::Complete => {
                 self.complete(id, lease, stored, copy).await;
                 let left = self.admitted.meta.deadline.since(self.cx.clock.now());
@@ -406,7 +416,7 @@
     async fn pump(
         &mut self,
         id: Option<AttemptId>,
-        body: &mut Incoming,
+        (body, http2): (&mut Incoming, bool),
         copy: &mut AnswerCopy,
         tx: &mpsc::Sender<Part>,
     ) -> PumpEnd {
@@ -428,8 +438,8 @@
                 }
             };
             let frame = match frame {
-                None => return PumpEnd::Complete,
-                Some(Err(_)) => return PumpEnd::Broken(FailureCause::Broken),
+                None if is_complete(body, http2) => return PumpEnd::Complete,
+                None | Some(Err(_)) => return PumpEnd::Broken(FailureCause::Broken),
                 Some(Ok(frame)) => frame,
             };
             match frame.data_ref() {
@@ -540,6 +550,6 @@
     }
 }
 
-fn version_of(_service: &jasminecart_core::version::Service) -> Version {
-    Version::Http1
+fn version_of(service: &Service) -> Version {
+    if service.http2 { Version::Http2 } else { Version::Http1 }
 }
--- a/crates/jasminecart-entry/src/tasks.rs
+++ b/crates/jasminecart-entry/src/tasks.rs
@@ -2,12 +2,14 @@
 
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Spawns tasks that all end at once when the entry process is killed. A task of the process must be
 /// spawned through this type, or it would outlive [`crate::EntryHandle::kill`].
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tasks {
     killed: CancellationToken,
+    running: TaskTracker,
 }
 
 impl Tasks {
@@ -17,7 +19,7 @@
         F: Future<Output = ()> + Send + 'static,
     {
         let killed = self.killed.clone();
-        tokio::spawn(async move {
+        self.running.spawn(async move {
             killed.run_until_cancelled(future).await;
         })
     }
@@ -26,6 +28,12 @@
     pub(crate) fn kill(&self) {
         self.killed.cancel();
     }
+
+    /// Waits until no task is left.
+    pub(crate) async fn wait(&self) {
+        self.running.close();
+        self.running.wait().await;
+    }
 }
 
 /// Lets hyper spawn the background tasks of HTTP/2 connections.
--- a/crates/jasminecart-entry/tests/support/mod.rs
+++ b/crates/jasminecart-entry/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -230,6 +230,12 @@
     pub address: SocketAddr,
     pub received: Arc<AtomicUsize>,
     pub connections: Arc<AtomicUsize>,
+    /// Connections that the entry VM closed while a script hung or paused.
+    pub abandoned: Arc<AtomicUsize>,
+    /// Connections that this target closed.
+    pub closed: Arc<AtomicUsize>,
+    /// Scripts that ran to their end.
+    pub finished: Arc<AtomicUsize>,
 }
 
 /// A request as a scripted target received it.
@@ -247,6 +253,8 @@
     SendAndClose(&'static [u8]),
     /// Sends these bytes and then nothing more, with the connection open.
     SendAndHang(&'static [u8]),
+    /// Sends the second bytes this many milliseconds after the first.
+    Pause(u64, &'static [u8], &'static [u8]),
     /// Answers with the body of the request.
     Echo,
     /// Answers with the head of the request.
@@ -260,27 +268,51 @@
         let address = listener.local_addr().unwrap();
         let (received, connections) =
             (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
-        let (counted, accepted) = (received.clone(), connections.clone());
+        let abandoned = Arc::<AtomicUsize>::default();
+        let finished = Arc::<AtomicUsize>::default();
+        let counts = (received.clone(), abandoned.clone(), finished.clone());
+        let (accepted, closed) = (connections.clone(), Arc::<AtomicUsize>::default());
+        let counted = closed.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
                 accepted.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(follow(stream, scripts, counted.clone()));
+                let (counts, counted) = (counts.clone(), counted.clone());
+                tokio::spawn(async move {
+                    follow(stream, scripts, counts).await;
+                    counted.fetch_add(1, Ordering::SeqCst);
+                });
             }
         });
-        Target { address, received, connections }
+        Target { address, received, connections, abandoned, closed, finished }
     }
 
     pub fn received(&self) -> usize {
         self.received.load(Ordering::SeqCst)
     }
 
+    pub fn abandoned(&self) -> usize {
+        self.abandoned.load(Ordering::SeqCst)
+    }
+
+    pub fn closed(&self) -> usize {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    pub fn finished(&self) -> usize {
+        self.finished.load(Ordering::SeqCst)
+    }
+
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::SeqCst)
     }
 }
 
-async fn follow(mut stream: TcpStream, scripts: &'static [Script], received: Arc<AtomicUsize>) {
+async fn follow(
+    mut stream: TcpStream,
+    scripts: &'static [Script],
+    (received, abandoned, finished): (Arc<AtomicUsize>, Arc<AtomicUsize>, Arc<AtomicUsize>),
+) {
     let mut buf = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buf, &received).await {
         let (n, request) = request;
@@ -295,15 +327,28 @@
             Script::Send(bytes) => (bytes.to_vec(), false, false),
             Script::SendAndClose(bytes) => (bytes.to_vec(), true, false),
             Script::SendAndHang(bytes) => (bytes.to_vec(), false, true),
+            Script::Pause(millis, first, second) => {
+                let _ = stream.write_all(first).await;
+                tokio::select! {
+                    () = tokio::time::sleep(Duration::from_millis(millis)) => {}
+                    _ = stream.readable() => {
+                        abandoned.fetch_add(1, Ordering::SeqCst);
+                    }
+                }
+                (second.to_vec(), false, false)
+            }
             Script::Echo => (echo(&request.body), false, false),
             Script::EchoHead => (echo(request.head.as_bytes()), false, false),
         };
-        if stream.write_all(&bytes).await.is_err() || close {
+        let written = stream.write_all(&bytes).await;
+        finished.fetch_add(1, Ordering::SeqCst);
+        if written.is_err() || close {
             return;
         }
         if hang {
             let mut ignored = [0; 1024];
             while stream.read(&mut ignored).await.is_ok_and(|count| count > 0) {}
+            abandoned.fetch_add(1, Ordering::SeqCst);
             return;
         }
     }
@@ -365,6 +410,34 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
 }
 
-pub fn empty() -> Empty<Bytes> {
-    Empty::new()
+/// Sends bytes as they are and returns what came back until the connection closed.
+pub async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    assert!(read.is_ok(), "the connection stays open");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Sends bytes as they are while it reads, and returns what came back until the connection closed.
+pub async fn raw_bytes(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let (mut read, mut write) = TcpStream::connect(address).await.unwrap().into_split();
+    let bytes = bytes.to_vec();
+    let writer = tokio::spawn(async move {
+        let _ = write.write_all(&bytes).await;
+        write
+    });
+    let mut answer = Vec::new();
+    let ended = tokio::time::timeout(PATIENCE, read.read_to_end(&mut answer)).await;
+    assert!(ended.is_ok(), "the connection stays open");
+    writer.abort();
+    answer
+}
+
+/// Sends bytes and closes the connection a little later.
+pub async fn raw_and_close(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
 }
--- a/crates/jasminecart-peer/src/incoming.rs
+++ b/crates/jasminecart-peer/src/incoming.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
 use tonic::codegen::tokio_stream::Stream;
 use tonic::transport::server::Connected;
 
@@ -23,11 +24,19 @@
     listener: TcpListener,
     permits: Arc<Semaphore>,
     counters: Arc<Counters>,
+    stopped: CancellationToken,
 }
 
 impl Incoming {
-    pub(crate) fn new(listener: TcpListener, counters: Arc<Counters>) -> Incoming {
-        Incoming { listener, permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)), counters }
+    /// Creates the stream of connections. They all fail once `stopped` is cancelled, because the transport
+    /// serves each in a task of its own that would go on otherwise.
+    pub(crate) fn new(
+        listener: TcpListener,
+        counters: Arc<Counters>,
+        stopped: CancellationToken,
+    ) -> Incoming {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        Incoming { listener, permits, counters, stopped }
     }
 }
 
@@ -43,7 +52,8 @@
             match self.permits.clone().try_acquire_owned() {
                 Ok(permit) => {
                     let nodelay = stream.set_nodelay(true);
-                    let connection = Connection { stream, _permit: permit };
+                    let stopped = Box::pin(self.stopped.clone().cancelled_owned());
+                    let connection = Connection { stream, stopped, _permit: permit };
                     return Poll::Ready(Some(nodelay.map(|()| connection)));
                 }
                 Err(_) => add(&self.counters.received_too_many_connections, 1),
@@ -56,6 +66,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: TcpStream,
+    stopped: Pin<Box<WaitForCancellationFutureOwned>>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -71,6 +82,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.stopped.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
--- a/crates/jasminecart-peer/src/server.rs
+++ b/crates/jasminecart-peer/src/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 use tonic::codegen::async_trait;
 use tonic::{Code, Request, Response, Status};
 use tower::ServiceExt;
@@ -38,12 +39,13 @@
     pub messages: Vec<PeerMessage>,
 }
 
-/// Accepts envelopes from other VMs. Dropping it stops its tasks.
+/// Accepts envelopes from other VMs. Dropping it closes its listener and connections.
 #[derive(Debug)]
 pub struct PeerServer {
     address: SocketAddr,
     counters: Arc<Counters>,
     task: JoinHandle<()>,
+    stopped: CancellationToken,
 }
 
 impl PeerServer {
@@ -52,8 +54,9 @@
         let address = listener.local_addr()?;
         let counters = Arc::new(Counters::default());
         let receiver = Arc::new(Receiver { inbox, counters: counters.clone() });
-        let task = tokio::spawn(serve(listener, receiver));
-        Ok(PeerServer { address, counters, task })
+        let stopped = CancellationToken::new();
+        let task = tokio::spawn(serve(listener, receiver, stopped.clone()));
+        Ok(PeerServer { address, counters, task, stopped })
     }
 
     /// Returns the address of the listener.
@@ -69,11 +72,12 @@
 
 impl Drop for PeerServer {
     fn drop(&mut self) {
+        self.stopped.cancel();
         self.task.abort();
     }
 }
 
-async fn serve(listener: TcpListener, receiver: Arc<Receiver>) {
+async fn serve(listener: TcpListener, receiver: Arc<Receiver>, stopped: CancellationToken) {
     let counters = receiver.counters.clone();
     let service =
         peer_server::PeerServer::from_arc(receiver).max_decoding_message_size(MAX_ENVELOPE_BYTES);
@@ -87,7 +91,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let incoming = Incoming::new(listener, counters);
+    let incoming = Incoming::new(listener, counters, stopped);
     let served = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
         .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
