--- a/crates/jasminecart-peer/src/links.rs
+++ b/crates/jasminecart-peer/src/links.rs
@@ -29,6 +29,8 @@
     pub max_queued: usize,
     /// The most bytes in the queue of a peer.
     pub max_queued_bytes: usize,
+    /// The largest message in bytes.
+    pub max_message_bytes: usize,
     /// How long a connection may take to open.
     pub connect_within: Duration,
     /// A connection on which a call takes longer is replaced.
@@ -44,6 +46,7 @@
         LinkLimits {
             max_queued: 1_024,
             max_queued_bytes: 4 << 20,
+            max_message_bytes: MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES,
             connect_within: Duration::from_secs(1),
             progress_within: Duration::from_secs(2),
             first_backoff: Duration::from_millis(100),
@@ -73,7 +76,7 @@
     /// messages are dropped when the queue is full, because newer ones supersede them.
     pub fn send(&mut self, to: &VmId, address: SocketAddr, message: PeerMessage) {
         let size = postcard::experimental::serialized_size(&message).unwrap_or(usize::MAX);
-        if size > MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES {
+        if size > self.limits.max_message_bytes.min(MAX_ENVELOPE_BYTES - ENVELOPE_OVERHEAD_BYTES) {
             return add(&self.counters.dropped_too_large, 1);
         }
         if self.links.get(to).is_some_and(|link| link.address != address) {
