--- a/crates/jasminecart-entry/src/entry.rs
+++ b/crates/jasminecart-entry/src/entry.rs
@@ -40,7 +40,7 @@
 /// The shortest planned stop. Peers and the fabric learn of the stop meanwhile, and a client that is about
 /// to send a request on an open connection gets an answer.
 const LEAVE_AT_LEAST: Duration = Duration::from_millis(500);
-/// How long open connections may take to close after the last request.
+/// How long open connections may take to close at least, even when the bound of the stop has passed.
 const CLOSE_WITHIN: Duration = Duration::from_secs(1);
 
 /// The entry daemon.
@@ -286,7 +286,9 @@
         let drained = tokio::time::timeout(bound, self.drain(started)).await.is_ok();
         let cut_off = u64::try_from(self.requests.in_progress()).unwrap_or(0);
         self.requests.finish();
-        let _ = tokio::time::timeout(CLOSE_WITHIN, self.close_connections()).await;
+        // A slow client may still receive the end of an answer that is complete on this side.
+        let left = bound.saturating_sub(started.elapsed()).max(CLOSE_WITHIN);
+        let _ = tokio::time::timeout(left, self.close_connections()).await;
         log::info!(event = "stop_ended", vm = vm.as_str(), drained = drained, cut_off = cut_off; "the planned stop ended");
         self.kill().await;
         StopReport { drained, cut_off }
--- a/crates/jasminecart-entry/src/platform.rs
+++ b/crates/jasminecart-entry/src/platform.rs
@@ -67,6 +67,7 @@
     control: Control,
     tasks: Tasks,
     watch: Option<AbortHandle>,
+    read: Option<AbortHandle>,
 }
 
 #[derive(Debug)]
@@ -96,16 +97,21 @@
         let backoff = Backoff::new(FIRST_BACKOFF, LONGEST_BACKOFF);
         let pace = Mutex::new(Pace { backoff, delay: Duration::ZERO, failing: false });
         let caller = Arc::new(Caller { vm, address, metrics, pace });
-        Platform { caller, control, tasks, watch: None }
+        Platform { caller, control, tasks, watch: None, read: None }
     }
 
-    /// Reads the document once and reports the reply.
-    pub(crate) fn read(&self) {
+    /// Reads the document once and reports the reply. A read that is in progress serves later wishes too.
+    pub(crate) fn read(&mut self) {
+        if self.read.as_ref().is_some_and(|read| !read.is_finished()) {
+            return;
+        }
         let (caller, control) = (self.caller.clone(), self.control.clone());
-        self.tasks.spawn(async move {
+        let task = self.tasks.spawn(async move {
+            tokio::time::sleep(caller.take_delay()).await;
             let reply = caller.document("/v1/document", CALL_TIMEOUT, None).await;
             control.platform_reply(reply).await;
         });
+        self.read = Some(task.abort_handle());
     }
 
     /// Waits for a revision above `after` and reports the reply. An earlier watch ends.
--- a/crates/jasminecart-entry/src/pool/lease.rs
+++ b/crates/jasminecart-entry/src/pool/lease.rs
@@ -32,8 +32,10 @@
 }
 
 impl Http2 {
+    /// Tells whether the connection is open and takes a further request. Bytes to read are no sign of an
+    /// end here, because either side may send a frame at any time.
     pub(super) fn is_usable(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && self.state.is_open()
     }
 
     pub(super) fn is_same(&self, other: &Http2) -> bool {
--- a/crates/jasminecart-entry/src/pool/stream.rs
+++ b/crates/jasminecart-entry/src/pool/stream.rs
@@ -50,6 +50,15 @@
         peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Tells whether the target has not closed the stream, as far as this side knows.
+    pub(super) fn is_open(&self) -> bool {
+        let mut buf = [MaybeUninit::uninit(); 1];
+        match SockRef::from(&self.stream).peek(&mut buf) {
+            Ok(count) => count > 0,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        }
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Written> {
         self.written.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/jasminecart-entry/tests/http2_targets.rs
+++ b/crates/jasminecart-entry/tests/http2_targets.rs
@@ -27,19 +27,26 @@
 const GOAWAY_ERROR_AFTER: &[u8] = b"\0\0\x08\x07\0\0\0\0\0\0\0\0\x01\0\0\0\x02";
 
 /// Starts a target that sends these frames after the head of each connection's first request and then, if
-/// told so, closes the connection.
-async fn target(frames: &'static [&'static [u8]], close: bool) -> (SocketAddr, Arc<AtomicUsize>) {
+/// told so, closes the connection. Returns how many requests it received and how many connections ended.
+async fn target(
+    frames: &'static [&'static [u8]],
+    close: bool,
+) -> (SocketAddr, Arc<AtomicUsize>, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let received = Arc::<AtomicUsize>::default();
-    let counted = received.clone();
+    let (received, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+    let counts = (received.clone(), closed.clone());
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(follow(stream, frames, close, counted.clone()));
+            let (received, closed) = counts.clone();
+            tokio::spawn(async move {
+                let _ = follow(stream, frames, close, received).await;
+                closed.fetch_add(1, Ordering::SeqCst);
+            });
         }
     });
-    (address, received)
+    (address, received, closed)
 }
 
 async fn follow(
@@ -76,6 +83,7 @@
 #[test_case(&[GOAWAY_AFTER], true, 502, "unknown"; "GOAWAY that includes the stream")]
 #[test_case(&[GOAWAY_ERROR_AFTER], true, 502, "unknown"; "GOAWAY with an error that includes the stream")]
 #[test_case(&[], true, 502, "unknown"; "closed without an answer")]
+#[test_case(&[], false, 502, "unknown"; "silent")]
 #[tokio::test]
 async fn a_failed_attempt_is_reported_exactly(
     frames: &'static [&'static [u8]],
@@ -83,8 +91,9 @@
     status: u16,
     outcome: &str,
 ) {
-    let (address, received) = target(frames, close).await;
-    let platform = Platform::start(1, &document("http = 2", &[address])).await;
+    let (address, received, _) = target(frames, close).await;
+    let document = document("http = 2\nprogress_timeout = 100ms", &[address]);
+    let platform = Platform::start(1, &document).await;
     let entry = entry("vm-1", &platform, "").await;
     let req = request("POST", "/claims", "a claim");
     let answer = exchange(entry.addresses().requests, req).await.unwrap();
@@ -95,7 +104,7 @@
 // Guards against a path to HTTP/2 targets that does not work at all.
 #[tokio::test]
 async fn an_answer_over_http2_is_passed_on() {
-    let (address, _) = target(&[HEAD, DATA, LAST_DATA], false).await;
+    let (address, ..) = target(&[HEAD, DATA, LAST_DATA], false).await;
     let platform = Platform::start(1, &document("http = 2", &[address])).await;
     let entry = entry("vm-1", &platform, "").await;
     let req = request("POST", "/claims", "a claim");
@@ -112,7 +121,7 @@
 #[test_case(&[HEAD, DATA, GOAWAY_BEFORE], true; "GOAWAY after the head")]
 #[tokio::test]
 async fn a_broken_answer_is_an_error_for_the_client(frames: &'static [&'static [u8]], close: bool) {
-    let (address, _) = target(frames, close).await;
+    let (address, ..) = target(frames, close).await;
     let platform = Platform::start(1, &document("http = 2", &[address])).await;
     let entry = entry("vm-1", &platform, "").await;
     let answer = exchange(entry.addresses().requests, request("GET", "/", "")).await;
@@ -150,3 +159,23 @@
     .await;
     assert_eq!(target.finished(), 0);
 }
+
+// Guards against a silent connection that is used again, and against one that the target closed while idle.
+#[test_case(&[], false; "silent")]
+#[test_case(&[HEAD, LAST_DATA], true; "closed after the answer")]
+#[tokio::test]
+async fn a_dead_connection_is_replaced(frames: &'static [&'static [u8]], close: bool) {
+    let (address, received, closed) = target(frames, close).await;
+    let document = document("http = 2\nprogress_timeout = 100ms", &[address]);
+    let platform = Platform::start(1, &document).await;
+    let entry = entry("vm-1", &platform, "").await;
+    let operators = entry.addresses().operators;
+    for n in 1..=3 {
+        let answer = exchange(entry.addresses().requests, request("POST", "/", "")).await.unwrap();
+        assert_eq!(answer.status.as_u16(), if close { 200 } else { 502 });
+        assert_eq!(received.load(Ordering::SeqCst), n);
+        assert_eq!(support::metric(operators, "entry_target_connections_total").await, n as u64);
+        support::eventually("the connection ends", || async { closed.load(Ordering::SeqCst) == n })
+            .await;
+    }
+}
