--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -8,12 +8,12 @@
 
 /// A SYN this soon after the first one of its flow is a retransmission. Clients give up after 63 s with
 /// the usual six retransmissions.
-pub(super) const SYN_SPAN: Millis = Millis::from_secs(75);
+const SYN_SPAN: Millis = Millis::from_secs(75);
 /// How long an entry outlives the last packet of a flow that was closed.
 const CLOSED_SPAN: Millis = Millis::from_secs(120);
 /// How long a hint lives without use. It is shorter than [`CLOSED_SPAN`], so that an owner knows the flow
 /// for longer than any hint for it lives.
-pub(super) const HINT_SPAN: Millis = Millis::from_secs(30);
+const HINT_SPAN: Millis = Millis::from_secs(30);
 /// How long an idle UDP flow stays known.
 const DATAGRAM_SPAN: Millis = Millis::from_secs(300);
 
@@ -68,6 +68,12 @@
         Millis::from_secs(self.opened.into())
     }
 
+    /// Tells whether a SYN seen now is a retransmission.
+    pub(super) fn is_opening(&self, now: Millis) -> bool {
+        let open = matches!(self.state, State::HalfOpen | State::Established);
+        open && now.since(self.opened()) < SYN_SPAN
+    }
+
     fn last(&self) -> Millis {
         Millis::from_secs(self.last.into())
     }
@@ -170,6 +176,14 @@
         }
     }
 
+    /// Turns an entry into a hint that has to be confirmed before it is used.
+    pub(super) fn demote(&mut self, now: Millis, flow: u64) {
+        self.set_state(now, flow, State::Hint);
+        if let Some(entry) = self.entries.get_mut(&flow) {
+            entry.opened = 0;
+        }
+    }
+
     /// Notes that a hint was confirmed by a packet sent through the owner.
     pub(super) fn renew(&mut self, now: Millis, flow: u64) {
         if let Some(entry) = self.entries.get_mut(&flow) {
--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -35,11 +35,14 @@
             }
             FlowMessage::Transfer { groups } => self.take_entries(now, &groups),
             FlowMessage::TransferDone { epoch } => {
-                self.done_from.insert(from.clone(), epoch);
-                self.check_done();
+                // What waited during a pause tells of the owners before it.
+                if !self.freshness.reads_backlog(now) {
+                    self.done_from.insert(from.clone(), epoch);
+                    self.check_done();
+                }
             }
-            FlowMessage::Digest { revision, digest, ask } => {
-                self.compare(from, revision, digest, ask);
+            FlowMessage::Digest { revision, digest, ask, since } => {
+                self.compare(from, revision, digest, ask, since);
             }
             FlowMessage::Generations { revision, services, ask } => {
                 self.merge(now, from, revision, &services, ask);
@@ -84,13 +87,30 @@
             peers.map(|peer| (mix(order, peer.hash), peer.vm.clone())).collect();
         peers.sort();
         let digest = self.digest();
-        let epoch = self.owners.epoch();
+        let since = if self.synced { Revision(0) } else { self.synced_to };
         for (_, vm) in peers.into_iter().take(count) {
-            self.send(&vm, FlowMessage::Digest { revision, digest, ask: true });
-            // Repeats an announcement that may have been lost with a connection.
-            if self.done_to.get(&vm) == Some(&epoch) {
-                self.send(&vm, FlowMessage::TransferDone { epoch });
-            }
+            self.send(&vm, FlowMessage::Digest { revision, digest, ask: true, since });
+            self.repeat_done(&vm);
+        }
+    }
+
+    /// Asks all peers after a pause whether they have handed over every entry.
+    pub(super) fn ask_again(&mut self) {
+        self.done_from.clear();
+        self.check_done();
+        let peers: Vec<VmId> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
+        let (revision, digest) = (self.revision(), self.digest());
+        for vm in peers {
+            let since = Revision(0);
+            self.send(&vm, FlowMessage::Digest { revision, digest, ask: true, since });
+        }
+    }
+
+    /// Repeats an announcement that may have been lost with a connection or a pause.
+    fn repeat_done(&mut self, vm: &VmId) {
+        let epoch = self.owners.epoch();
+        if self.done_to.get(vm) == Some(&epoch) {
+            self.send(vm, FlowMessage::TransferDone { epoch });
         }
     }
 
@@ -148,18 +168,29 @@
         self.document.as_ref().map(|document| document.revision()).unwrap_or_default()
     }
 
-    fn compare(&mut self, from: &VmId, revision: Revision, digest: u64, ask: bool) {
+    fn compare(
+        &mut self,
+        from: &VmId,
+        revision: Revision,
+        digest: u64,
+        ask: bool,
+        since: Revision,
+    ) {
         let own = self.revision();
         let same = revision == own && digest == self.digest();
         if same && self.is_teacher(from) {
             self.synced = true;
         }
+        if ask {
+            self.repeat_done(from);
+        }
         if ask && revision == own && !same {
-            let services = self.export();
-            self.send(from, FlowMessage::Generations { revision: own, services, ask: true });
+            let services = self.export(since);
+            let ask = since == Revision(0);
+            self.send(from, FlowMessage::Generations { revision: own, services, ask });
         } else if ask {
-            let digest = self.digest();
-            self.send(from, FlowMessage::Digest { revision: own, digest, ask: false });
+            let (digest, since) = (self.digest(), Revision(0));
+            self.send(from, FlowMessage::Digest { revision: own, digest, ask: false, since });
         }
     }
 
@@ -181,7 +212,7 @@
         if revision >= own && own != Revision(0) && self.is_teacher(from) {
             self.synced = true;
         }
-        let services = self.export();
+        let services = self.export(Revision(0));
         if ask && services != theirs {
             self.send(from, FlowMessage::Generations { revision: own, services, ask: false });
         }
@@ -192,11 +223,12 @@
         self.owners.peers().any(|peer| peer.vm == *vm && peer.state != MemberState::Joining)
     }
 
-    fn export(&self) -> Vec<ServiceGenerations> {
+    /// Returns the generations after a revision.
+    fn export(&self, since: Revision) -> Vec<ServiceGenerations> {
         let mut left = MAX_GENERATIONS_BYTES;
         let mut services = Vec::new();
         for table in self.services.values() {
-            let service = table.export();
+            let service = table.export(since);
             let bytes = service.wire_bytes();
             if bytes > left {
                 break;
@@ -241,7 +273,7 @@
         self.all_done = peers.all(|peer| self.done_from.get(&peer.vm) == Some(&epoch));
     }
 
-    /// Queues entries for their new owners. Of the previous owners, the first that is still here sends.
+    /// Queues entries for their new owners. Of the previous owners, the first that stays sends.
     fn queue_entries(&mut self, previous: &Owners) {
         let me = self.owners.me();
         let cause = if previous.lost_owner(&self.owners) { Cause::Repair } else { Cause::Planned };
@@ -249,8 +281,10 @@
         let mut established = Vec::new();
         for (flow, entry) in self.flows.iter().filter(|(_, entry)| entry.state != State::Hint) {
             let old = previous.future(flow);
-            let sender = old.into_iter().find(|owner| self.owners.get(*owner).is_some());
-            if sender.is_some_and(|sender| sender != me) {
+            let stays = |owner: &u64| self.owners.owns(*owner);
+            let sender = old.into_iter().find(stays);
+            // A leaving owner sends as well, because the other one may not have every entry yet.
+            if sender.is_some_and(|sender| sender != me) && self.owners.owns(me) {
                 continue;
             }
             for owner in self.owners.future(flow) {
@@ -278,7 +312,7 @@
         });
         let flows: Vec<u64> = foreign.map(|(flow, _)| flow).collect();
         for flow in flows {
-            self.flows.set_state(now, flow, State::Hint);
+            self.flows.demote(now, flow);
         }
         self.demoted = true;
     }
--- a/crates/jasminecart-core/src/flow/freshness.rs
+++ b/crates/jasminecart-core/src/flow/freshness.rs
@@ -60,6 +60,11 @@
         now < self.until && self.newest_peer <= revision && !self.minority
     }
 
+    /// Tells whether messages read now may have waited during a pause.
+    pub(super) fn reads_backlog(&self, now: Millis) -> bool {
+        self.resumed_at.is_some_and(|resumed| now < resumed + BUFFERED_SPAN)
+    }
+
     /// Returns when the event loop last resumed after a pause.
     pub(super) fn resumed_at(&self) -> Option<Millis> {
         self.resumed_at
--- a/crates/jasminecart-core/src/flow/generations.rs
+++ b/crates/jasminecart-core/src/flow/generations.rs
@@ -43,8 +43,13 @@
     slots: Vec<Slot>,
     by_key: HashMap<u64, u16>,
     base: Table,
+    /// The keys of the base targets, which outlive the slots.
+    base_keys: Box<[u64]>,
     current: Table,
     settled: Box<[u64; WORDS]>,
+    /// Buckets whose base changed with a revision that other VMs may not have yet.
+    held: Box<[u64; WORDS]>,
+    held_until: Revision,
     digest: u64,
 }
 
@@ -64,8 +69,11 @@
             slots: Vec::new(),
             by_key: HashMap::new(),
             base: empty.clone(),
+            base_keys: vec![0; BUCKETS].into(),
             current: empty,
             settled: Box::new([0; WORDS]),
+            held: Box::new([0; WORDS]),
+            held_until: Revision(0),
             digest: 0,
         };
         table.insert(now, revision, targets.into());
@@ -135,6 +143,10 @@
     pub(super) fn rebuild(&mut self, active: Revision) {
         self.collect_slots();
         let live: Vec<Table> = self.generations.values().map(|own| self.live_table(own)).collect();
+        let newest = self.generations.last_key_value().map_or(active, |(revision, _)| *revision);
+        if active >= self.held_until {
+            self.held.fill(0);
+        }
         let chosen = self.generations.range(..=active).count().saturating_sub(1);
         for bucket in 0..BUCKETS {
             let choices = live.iter().map(|table| table[bucket]);
@@ -146,10 +158,17 @@
                 NONE => live.last().map_or(NONE, |table| table[bucket]),
                 slot => slot,
             };
+            let moved = self.base[bucket] != NONE && self.base_keys[bucket] != self.key_of(base);
+            if moved && newest > active {
+                set_bit(&mut self.held, bucket, true);
+                self.held_until = newest;
+            }
+            self.base_keys[bucket] = self.key_of(base);
+            let held = bit(&self.held, bucket);
             let left_over = self.residue.as_ref().is_some_and(|bits| bit(bits, bucket));
             self.base[bucket] = base;
             self.current[bucket] = current;
-            set_bit(&mut self.settled, bucket, agree && current == base && !left_over);
+            set_bit(&mut self.settled, bucket, agree && current == base && !left_over && !held);
         }
         self.discard();
         self.digest = self.compute_digest();
@@ -180,6 +199,11 @@
         bit(&self.settled, bucket)
     }
 
+    /// Tells whether other VMs may have another base for a bucket.
+    pub(super) fn is_held(&self, bucket: usize) -> bool {
+        bit(&self.held, bucket)
+    }
+
     /// Returns how many buckets are unsettled.
     pub(super) fn unsettled(&self) -> usize {
         BUCKETS - self.settled.iter().map(|word| word.count_ones() as usize).sum::<usize>()
@@ -200,9 +224,10 @@
         self.digest
     }
 
-    /// Returns the generations for a peer.
-    pub(super) fn export(&self) -> ServiceGenerations {
-        let sets = self.generations.iter().map(|(rev, own)| (*rev, own.targets.clone()));
+    /// Returns the generations after a revision for a peer.
+    pub(super) fn export(&self, since: Revision) -> ServiceGenerations {
+        let later = self.generations.iter().filter(|(revision, _)| **revision > since);
+        let sets = later.map(|(rev, own)| (*rev, own.targets.clone()));
         ServiceGenerations {
             service: self.name.clone(),
             generations: sets.collect(),
@@ -230,6 +255,10 @@
         self.generations.insert(revision, generation);
     }
 
+    fn key_of(&self, slot: u16) -> u64 {
+        self.slots.get(slot as usize).map_or(0, |slot| slot.key)
+    }
+
     /// Collects the targets of the newest generation, which are those of the document.
     fn collect_slots(&mut self) {
         let Some((_, newest)) = self.generations.last_key_value() else { return };
--- a/crates/jasminecart-core/src/flow/messages.rs
+++ b/crates/jasminecart-core/src/flow/messages.rs
@@ -43,6 +43,8 @@
         digest: u64,
         /// Whether the receiver has to answer.
         ask: bool,
+        /// The revision up to which the sender needs no generations.
+        since: Revision,
     },
     /// Hands over generations, to be merged as a set.
     Generations {
@@ -108,7 +110,7 @@
             + match self {
                 FlowMessage::Hint { .. } => 20,
                 FlowMessage::Forget { .. } | FlowMessage::TransferDone { .. } => 10,
-                FlowMessage::Digest { .. } => 14,
+                FlowMessage::Digest { .. } => 17,
                 FlowMessage::Transfer { groups } => {
                     groups.iter().map(|group| 12 + 9 * group.entries.len()).sum()
                 }
--- a/crates/jasminecart-core/src/flow/owners.rs
+++ b/crates/jasminecart-core/src/flow/owners.rs
@@ -76,6 +76,11 @@
         found.map(|index| &self.candidates[index])
     }
 
+    /// Tells whether a member owns flows now or after joining.
+    pub(super) fn owns(&self, vm: u64) -> bool {
+        self.get(vm).is_some_and(|candidate| candidate.future)
+    }
+
     /// Returns the hash of this VM.
     pub(super) fn me(&self) -> u64 {
         self.me
--- a/crates/jasminecart-core/src/flow/router.rs
+++ b/crates/jasminecart-core/src/flow/router.rs
@@ -23,6 +23,9 @@
 /// How long a revision waits before it takes new flows, unless every member has it earlier. Of the 5 s that
 /// I6 allows after publication, 2 s are left for distribution.
 const ACTIVATION_DELAY: Millis = Millis::from_secs(3);
+/// A revision that every member has waits this long still, because a duplicate of a SYN that was routed
+/// without an entry may be on its way.
+const SETTLE_DELAY: Millis = Millis::from_secs(1);
 /// Hints may use 1 KB/s and transfers after a death 2 KB/s of the 4 KB/s of control traffic.
 const HINT_RATE: u64 = 1_000;
 const REPAIR_RATE: u64 = 2_000;
@@ -35,6 +38,15 @@
 /// Packets of flows recorded just before a change of members may still be on their way to the new owners.
 const OVERLAP_SPAN: Millis = Millis::from_secs(5);
 
+/// A revision that does not take new flows yet.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    revision: Revision,
+    adopted: Millis,
+    /// When every member was first seen to have it.
+    acknowledged: Option<Millis>,
+}
+
 /// Routes the packets of flows to targets.
 ///
 /// `tick` must be called at least every 500 ms. A gap of more than 1.5 s between calls counts as a pause
@@ -63,6 +75,8 @@
     pub(super) owners_since: Millis,
     /// Whether this VM knows the generations that its peers know.
     pub(super) synced: bool,
+    /// The revision up to which the generations are known while later ones are not.
+    pub(super) synced_to: Revision,
     pub(super) last_exchange: Option<Millis>,
     pub(super) rounds: u64,
     pub(super) started: Option<Millis>,
@@ -70,7 +84,7 @@
     pub(super) base_packets: HashMap<u64, u8>,
     pub(super) outbox: Vec<Outgoing>,
     pub(super) counters: FlowCounters,
-    pending: Vec<(Revision, Millis)>,
+    pending: Vec<Pending>,
     active: Revision,
     leaving: bool,
     members: Option<Members>,
@@ -99,6 +113,7 @@
             demoted: true,
             owners_since: Millis::ZERO,
             synced: false,
+            synced_to: Revision(0),
             last_exchange: None,
             rounds: 0,
             started: None,
@@ -129,11 +144,14 @@
         self.by_address = addresses.collect();
         match previous {
             None => self.active = revision,
-            Some(_) => self.pending.push((revision, now)),
+            Some(_) => {
+                self.pending.push(Pending { revision, adopted: now, acknowledged: None });
+            }
         }
         // A revision that was skipped may have removed a target that is here again, with a new identity.
-        if previous.is_some_and(|previous| previous.0 + 1 < revision.0) {
+        if self.synced && previous.is_some_and(|previous| previous.0 + 1 < revision.0) {
             self.synced = false;
+            self.synced_to = previous.unwrap_or_default();
             self.last_exchange = None;
         }
         self.adopt_targets(now, document);
@@ -265,7 +283,9 @@
 
     /// Tells whether a flow that neither owner knows is certain to be on its base target.
     pub(super) fn is_complete(&self, now: Millis) -> bool {
-        self.all_done && now.since(self.owners_since) >= OVERLAP_SPAN && self.is_trusted(now)
+        let resumed = self.freshness.resumed_at().unwrap_or_default();
+        let since = self.owners_since.max(resumed);
+        self.all_done && now.since(since) >= OVERLAP_SPAN && self.is_trusted(now)
     }
 
     pub(super) fn is_leaving(&self) -> bool {
@@ -281,6 +301,7 @@
         self.started.get_or_insert(now);
         if self.freshness.run(now) {
             self.counters.pauses += 1;
+            self.ask_again();
         }
         let alone = self.started.is_some_and(|started| now.since(started) >= ALONE_SPAN);
         let teachers = self.owners.peers().any(|peer| peer.state != MemberState::Joining);
@@ -319,18 +340,23 @@
         if self.pending.is_empty() {
             return;
         }
-        let is_acknowledged = |revision: Revision| {
-            let has = |members: &Members| members.peers().all(|peer| peer.revision >= revision);
-            self.members.as_ref().is_some_and(has)
-        };
-        let is_due = |(revision, adopted): &(Revision, Millis)| {
-            now.since(*adopted) >= ACTIVATION_DELAY || is_acknowledged(*revision)
+        let peers = self.members.as_ref().map(|members| members.peers());
+        let lowest = peers.map(|peers| peers.map(|peer| peer.revision).min());
+        for pending in &mut self.pending {
+            let has = |lowest: Option<Revision>| lowest.is_none_or(|low| low >= pending.revision);
+            if pending.acknowledged.is_none() && lowest.is_some_and(has) {
+                pending.acknowledged = Some(now);
+            }
+        }
+        let is_due = |pending: &&Pending| {
+            let settled = |at: Millis| now.since(at) >= SETTLE_DELAY;
+            now.since(pending.adopted) >= ACTIVATION_DELAY
+                || pending.acknowledged.is_some_and(settled)
         };
-        let due =
-            self.pending.iter().filter(|pending| is_due(pending)).map(|(revision, _)| *revision);
+        let due = self.pending.iter().filter(is_due).map(|pending| pending.revision);
         let Some(active) = due.max() else { return };
         self.active = self.active.max(active);
-        self.pending.retain(|(revision, _)| *revision > active);
+        self.pending.retain(|pending| pending.revision > active);
         for table in self.services.values_mut().filter(|table| table.len() > 1) {
             table.rebuild(self.active);
         }
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -1,6 +1,6 @@
 //! The rules by which a packet is routed.
 
-use super::exceptions::{Entry, SYN_SPAN, State};
+use super::exceptions::{Entry, State};
 use super::generations::{ServiceTable, Slot};
 use super::hash::{flow_hash, fragment_hash};
 use super::messages::FlowMessage;
@@ -163,27 +163,24 @@
 
     /// Decides a SYN in an unsettled bucket.
     fn syn(&mut self, now: Millis, cx: &Context) -> Verdict {
-        if self.is_first(cx) {
+        // A packet that was passed on twice comes from a VM that takes this one for the first owner.
+        if self.is_first(cx) || cx.header.hops >= 2 {
+            let second = cx.rank[1];
+            let known = self.known(now, cx).is_some_and(|entry| entry.is_opening(now));
+            // After a pause this VM may not know that a target is draining.
+            if !cx.trusted && !known && cx.may_pass() && self.is_answering(second) {
+                self.flows.remove(cx.flow);
+                return Verdict::Pass { to: second, target: 0, record: true };
+            }
             return self.decide(now, cx);
         }
-        if cx.may_pass() {
-            return Verdict::Pass { to: cx.rank[0], target: 0, record: false };
-        }
-        // The views of the members differ so much that no owner was found. On the base target the flow
-        // needs no entry.
-        match self.base(cx).is_some_and(|base| !base.target.draining) {
-            true => Verdict::Base,
-            false => self.decide(now, cx),
-        }
+        Verdict::Pass { to: cx.rank[0], target: 0, record: false }
     }
 
     /// Decides the target of a new flow as its first owner.
     fn decide(&mut self, now: Millis, cx: &Context) -> Verdict {
         let known = self.known(now, cx);
-        let is_open = |entry: &Entry| matches!(entry.state, State::HalfOpen | State::Established);
-        if let Some(entry) = known.filter(is_open)
-            && now.since(entry.opened()) < SYN_SPAN
-        {
+        if let Some(entry) = known.filter(|entry| entry.is_opening(now)) {
             return self.pass_to_second(cx, entry.target);
         }
         // Hints for an earlier flow of the same addresses stay true if its target is kept.
@@ -197,7 +194,7 @@
             return Verdict::Drop(DropReason::NoTarget);
         };
         if kept.is_none() && known.is_some_and(|entry| entry.hinted) {
-            self.forget(cx.flow);
+            self.forget(now, cx.flow);
         }
         self.counters.decided += 1;
         self.place(now, cx, target, kept.is_some())
@@ -222,9 +219,12 @@
         self.pass_to_second(cx, target)
     }
 
-    /// Passes a packet to the second owner, which records the target.
+    /// Passes a packet to the other owner, which records the target.
     fn pass_to_second(&mut self, cx: &Context, target: u64) -> Verdict {
         let me = self.owners.me();
+        if !self.is_owner(cx) {
+            self.repair_owners(cx);
+        }
         let second = cx.rank[..2].iter().find(|owner| **owner != me && **owner != 0);
         let Some(second) = second.and_then(|second| self.owners.get(*second)) else {
             return Verdict::Deliver(target);
@@ -240,14 +240,23 @@
     /// Records what the first owner decided.
     fn record(&mut self, now: Millis, cx: &Context) -> Verdict {
         let target = cx.header.target;
+        if target == 0 {
+            // The first owner is not fresh. It gets the decision back to record it.
+            return self.decide(now, cx);
+        }
+        let earlier = self.known(now, cx).filter(|entry| entry.is_opening(now));
+        if cx.kind == PacketKind::Syn
+            && let Some(entry) = earlier.filter(|entry| entry.target != target)
+            && cx.may_pass()
+            && !self.is_first(cx)
+        {
+            // The first owner does not know that the SYN is a retransmission, as after a change of owners.
+            return Verdict::Pass { to: cx.rank[0], target: entry.target, record: true };
+        }
         let known = self.flows.get(now, cx.flow).copied();
         let known = known.filter(|entry| entry.target == target && entry.state != State::Hint);
-        let is_young = |entry: Entry| now.since(entry.opened()) < SYN_SPAN;
         let state = match (cx.kind, known.map(|entry| entry.state)) {
-            // A retransmitted SYN.
-            (PacketKind::Syn, Some(State::Established)) if known.is_some_and(is_young) => {
-                State::Established
-            }
+            (PacketKind::Syn, Some(State::Established)) if earlier.is_some() => State::Established,
             (PacketKind::Syn, _) => State::HalfOpen,
             (PacketKind::Fin | PacketKind::Rst, _) => State::Closing,
             (PacketKind::Datagram, None) => State::HalfOpen,
@@ -305,8 +314,22 @@
         if entry.state == State::Hint {
             return self.hinted_flow(now, cx, entry, closes);
         }
+        // The owners may have decided again since this VM was one of them.
+        if !owner && cx.header.hops <= 1 && self.is_answering(cx.rank[0]) {
+            return ask_first;
+        }
+        let other = if first { cx.rank[1] } else { cx.rank[0] };
+        let doubtful = self.is_doubtful(now, &entry) && cx.header.target == 0 && !closes;
+        if owner && doubtful && cx.may_pass() && self.is_answering(other) {
+            return Verdict::Pass { to: other, target, record: false };
+        }
         if closes {
             self.flows.set_state(now, cx.flow, State::Closing);
+            let draining = self.slot(cx, target).is_some_and(|slot| slot.target.draining);
+            // The next flow of the same addresses goes elsewhere.
+            if draining && entry.hinted && first {
+                self.forget(now, cx.flow);
+            }
         }
         let opens = entry.state == State::HalfOpen && !self.needs_no_entry(cx, target);
         if opens && !closes {
@@ -328,8 +351,8 @@
         if owner {
             self.hint(now, cx, target);
         }
-        if owner && !first && !cx.unasked && cx.header.target == 0 {
-            self.repair_first(cx);
+        if !first && !cx.unasked && cx.header.target == 0 {
+            self.repair_owners(cx);
         }
         Verdict::Deliver(target)
     }
@@ -505,6 +528,12 @@
         self.is_first(cx) || cx.rank[1] == self.owners.me()
     }
 
+    /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one.
+    fn is_doubtful(&self, now: Millis, entry: &Entry) -> bool {
+        let resumed = self.freshness.resumed_at();
+        resumed.is_some_and(|at| entry.opened() < at) && !self.is_complete(now)
+    }
+
     /// Tells whether a VM is expected to answer.
     fn is_answering(&self, vm: u64) -> bool {
         let here = self.owners.get(vm).filter(|peer| peer.hash != self.owners.me());
@@ -514,7 +543,8 @@
     /// Tells whether a TCP flow is found on its target without an entry.
     fn needs_no_entry(&self, cx: &Context, target: u64) -> bool {
         let on_base = self.base(cx).is_some_and(|base| base.key == target);
-        on_base && cx.trusted && cx.kind != PacketKind::Datagram
+        let held = self.table(cx).is_some_and(|table| table.is_held(cx.bucket));
+        on_base && !held && cx.trusted && cx.kind != PacketKind::Datagram
     }
 
     /// Sends a hint to the VM that forwards the packets of a flow.
@@ -556,7 +586,10 @@
     }
 
     /// Revokes the hints for a flow that was decided again.
-    fn forget(&mut self, flow: u64) {
+    fn forget(&mut self, now: Millis, flow: u64) {
+        if let Some(entry) = self.flows.touch(now, flow) {
+            entry.hinted = false;
+        }
         let peers: Vec<_> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
         for vm in peers {
             self.send(&vm, FlowMessage::Forget { flow });
@@ -572,13 +605,15 @@
         }
     }
 
-    /// Gives the first owner the entry that it lacks.
-    fn repair_first(&mut self, cx: &Context) {
-        if !self.is_answering(cx.rank[0]) {
-            return;
-        }
-        if let Some(first) = self.owners.get(cx.rank[0]).map(|first| first.vm.clone()) {
-            self.transfers.push(&first, Cause::Repair, cx.flow);
+    /// Gives the owners an entry that they lack.
+    fn repair_owners(&mut self, cx: &Context) {
+        for owner in &cx.rank[..2] {
+            if !self.is_answering(*owner) {
+                continue;
+            }
+            if let Some(vm) = self.owners.get(*owner).map(|owner| owner.vm.clone()) {
+                self.transfers.push(&vm, Cause::Repair, cx.flow);
+            }
         }
     }
 
--- a/crates/jasminecart-core/src/flow/transfers.rs
+++ b/crates/jasminecart-core/src/flow/transfers.rs
@@ -10,7 +10,7 @@
 /// The most entries of one message.
 const MAX_BATCH: usize = 512;
 
-/// A rate of bytes with a burst of one second.
+/// A rate of bytes with a burst of a quarter of a second, so that no second exceeds the rate by more.
 #[derive(Debug)]
 pub(super) struct Budget {
     rate: u64,
@@ -21,14 +21,14 @@
 impl Budget {
     /// Creates a budget of `rate` bytes a second.
     pub(super) fn new(rate: u64) -> Budget {
-        Budget { rate, left: rate, at: Millis::ZERO }
+        Budget { rate, left: rate / 4, at: Millis::ZERO }
     }
 
     /// Adds what has accrued.
     pub(super) fn refill(&mut self, now: Millis) {
         let accrued = now.since(self.at).get().min(1_000) * self.rate / 1_000;
         if accrued > 0 {
-            self.left = (self.left + accrued).min(self.rate);
+            self.left = (self.left + accrued).min(self.rate / 4);
             self.at = now;
         }
     }
