--- a/crates/jasminecart-standin/src/demo/entries.rs
+++ b/crates/jasminecart-standin/src/demo/entries.rs
@@ -98,7 +98,7 @@
     }
 
     pub(super) async fn kill(self) {
-        self.handle.kill();
+        self.handle.kill().await;
     }
 }
 
--- a/crates/jasminecart-standin/src/demo/scenario.rs
+++ b/crates/jasminecart-standin/src/demo/scenario.rs
@@ -12,6 +12,7 @@
 use crate::errors::Result;
 use crate::feeds::FeedFault;
 use crate::platform::PlatformMode;
+use crate::request_target::{Behaviour, Health};
 use crate::run_log::{Told, Verdicts};
 
 /// A document is in force in a data centre within 5 s (invariant I8).
@@ -22,6 +23,8 @@
 const DRAIN: Duration = Duration::from_millis(5_200);
 /// How late the fabric learns that a VM is gone.
 const FABRIC_LAG: Duration = Duration::from_millis(300);
+/// How long a target sheds.
+const SHEDDING: Duration = Duration::from_secs(2);
 /// How long an outage or a stale platform lasts.
 const OUTAGE: Duration = Duration::from_secs(3);
 /// A feed answers within a second through the lossy fabric. A segment that is lost three times in a row
@@ -36,6 +39,7 @@
     add_target(world, progress).await?;
     drain_target(world, progress).await?;
     replace_vm(world, progress).await?;
+    trouble_targets(world, progress).await?;
     break_platform(world, progress).await?;
     kill_vm(world, progress).await?;
     progress.say("waiting for the last answers");
@@ -126,6 +130,26 @@
     check(world, progress, "replacement").await
 }
 
+/// Makes open connections to one target silent for ever, while another sheds and says that it is well.
+async fn trouble_targets(world: &mut World, progress: &Progress) -> Result<()> {
+    progress.say(
+        "old connections to north-claims-1 go silent, and south-claims-1 sheds but looks well",
+    );
+    let requests = |name: &str| {
+        let target = world.targets.iter().find(|target| target.name.as_str() == name);
+        target.map(|target| &target.requests)
+    };
+    if let Some(silent) = requests("north-claims-1") {
+        silent.silence_connections();
+    }
+    if let Some(shedding) = requests("south-claims-1") {
+        shedding.set_behaviour(Behaviour { shed: true, health: Health::Lying });
+        tokio::time::sleep(SHEDDING).await;
+        shedding.set_behaviour(Behaviour::default());
+    }
+    check(world, progress, "targets in trouble").await
+}
+
 async fn break_platform(world: &mut World, progress: &Progress) -> Result<()> {
     progress.say("the platform is unreachable");
     world.platform.set_mode(PlatformMode::Unreachable);
@@ -204,6 +228,7 @@
         ("submissions broken by the killed VM", told(Told::BrokenByKill)),
         ("claims not submitted for want of a key", verdicts.keys_refused),
         ("requests shed by targets", sum(|target| target.requests.counts().shed)),
+        ("requests on silent connections", sum(|target| target.requests.counts().silent)),
         ("requests lost", figures.lost),
         ("requests run twice", figures.run_twice),
         ("requests refused as not run that ran", figures.false_not_run),
