--- a/crates/jasminecart-standin/tests/listener.rs
+++ b/crates/jasminecart-standin/tests/listener.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 const TTL_AT: usize = 8;
+const TARGETS: usize = 8;
 
 /// An IPv4 packet with a UDP datagram from a client to 10.99.0.1:443.
 fn datagram(bytes: usize, ttl: u8) -> Vec<u8> {
@@ -40,28 +41,32 @@
 
 struct World {
     listener: PacketListener,
-    target: UdpSocket,
+    targets: Vec<UdpSocket>,
     sender: UdpSocket,
 }
 
 impl World {
     async fn start() -> World {
         let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let target = UdpSocket::bind(local).await.unwrap();
+        let mut targets = Vec::new();
+        let mut text =
+            "[service s]\naddress = 10.99.0.1:443/udp, 10.99.0.1:443/tcp, [fd00::1]:443/udp\n"
+                .to_owned();
+        for number in 0..TARGETS {
+            let target = UdpSocket::bind(local).await.unwrap();
+            let address = target.local_addr().unwrap();
+            text += &format!("[target t{number}]\nservice = s\ndata_centre = dc\n");
+            text += &format!("address = {address}\npacket_port = {}\n", address.port());
+            targets.push(target);
+        }
         let sender = UdpSocket::bind(local).await.unwrap();
         let config = PacketListenerConfig { packets: local, peer_packets: local };
         let router = Router::new(VmId::new("dc", "vm"), 1, FlowLimits::default());
         let (outgoing, _) = mpsc::channel(16);
         let listener = PacketListener::start(config, Clock::new(), router, outgoing).await.unwrap();
-        let address = target.local_addr().unwrap();
-        let text = format!(
-            "[service s]\naddress = 10.99.0.1:443/udp\n[target t]\nservice = s\ndata_centre = dc\n\
-             address = {address}\npacket_port = {}\n",
-            address.port()
-        );
         let document = Arc::new(Document::parse(Revision(1), &text).unwrap());
         listener.commands().send(PacketCommand::Document(document)).await.unwrap();
-        World { listener, target, sender }
+        World { listener, targets, sender }
     }
 
     async fn send(&self, to_peer_socket: bool, datagram: &[u8]) {
@@ -70,6 +75,20 @@
         self.sender.send_to(datagram, to).await.unwrap();
     }
 
+    /// Receives one datagram and returns the number of the target that got it.
+    async fn receive(&self) -> (usize, Vec<u8>) {
+        let mut buf = vec![0; 2_048];
+        loop {
+            for (number, target) in self.targets.iter().enumerate() {
+                if let Ok(bytes) = target.try_recv(&mut buf) {
+                    buf.truncate(bytes);
+                    return (number, buf);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Returns the counts after this many datagrams.
     async fn counters(&self, datagrams: u64) -> PacketCounters {
         loop {
@@ -93,12 +112,11 @@
     let forward = ForwardHeader { hops: 1, entry: 1, target: 0, record: false };
     let sent = encapsulated(&datagram(100, 64), from_peer.then_some(&forward));
     world.send(from_peer, &sent).await;
-    let mut buf = [0; 2_048];
-    let bytes = world.target.recv(&mut buf).await.unwrap();
+    let (_, received) = world.receive().await;
     let mut expected = encapsulated(&datagram(100, 63), None);
     // The checksum of the sent header is 0, and it grows by the step of the TTL.
     expected[4 + 10] = 1;
-    assert_eq!(&buf[..bytes], expected);
+    assert_eq!(received, expected);
 }
 
 // Guards against a client that gives orders to the router, and against drops that nobody sees.
@@ -116,7 +134,7 @@
     let world = World::start().await;
     world.send(to_peer_socket, bad).await;
     world.send(false, &encapsulated(&datagram(MAX_INNER_BYTES, 64), None)).await;
-    world.target.recv(&mut [0; 2_048]).await.unwrap();
+    world.receive().await;
     let counters = world.counters(2).await;
     let refused: Vec<_> = counters.refused.iter().filter(|(_, count)| **count > 0).collect();
     assert_eq!(refused, [(&counter, &1)]);
@@ -132,7 +150,59 @@
         destination: "10.99.0.1:443".parse().unwrap(),
     };
     world.listener.commands().send(PacketCommand::Explain { key, reply }).await.unwrap();
-    assert_eq!(rx.await.unwrap().target, Some(Name::new("t")));
+    let expected = rx.await.unwrap().target;
+    world.send(false, &encapsulated(&datagram(100, 64), None)).await;
+    let (number, _) = world.receive().await;
+    assert_eq!(expected, Some(Name::new(format!("t{number}"))));
+}
+
+/// Turns an IPv4 packet into a fragment of itself.
+fn fragment(mut packet: Vec<u8>, offset: u16, more: bool) -> Vec<u8> {
+    packet[4..6].copy_from_slice(&77u16.to_be_bytes());
+    packet[6..8].copy_from_slice(&(offset | if more { 0x2000 } else { 0 }).to_be_bytes());
+    packet
+}
+
+/// Returns an ICMP error about an answer to the flow of [`datagram`], sent to the service by a router.
+fn unreachable() -> Vec<u8> {
+    let mut quote = datagram(28, 60);
+    quote[12..24].copy_from_slice(&[10, 99, 0, 1, 192, 0, 2, 7, 0x01, 0xbb, 0x9c, 0x40]);
+    let mut packet = datagram(28 + quote.len(), 64);
+    packet[9] = 1;
+    packet[12..16].copy_from_slice(&[198, 51, 100, 1]);
+    packet[20..28].copy_from_slice(&[3, 4, 0, 0, 0, 0, 0, 0]);
+    packet[28..].copy_from_slice(&quote);
+    packet
+}
+
+// Guards against fragments and errors that reach another target than the flow they belong to.
+#[test_case(&[datagram(100, 64), unreachable()]; "ICMP error")]
+#[test_case(&[datagram(100, 64), fragment(datagram(1_000, 64), 0, true), fragment(datagram(100, 64), 122, false)]; "first and later fragment")]
+#[tokio::test]
+async fn packets_that_belong_to_a_flow_reach_its_target(packets: &[Vec<u8>]) {
+    let world = World::start().await;
+    let mut numbers = Vec::new();
+    for packet in packets {
+        world.send(false, &encapsulated(packet, None)).await;
+        numbers.push(world.receive().await.0);
+    }
+    numbers.dedup();
+    assert_eq!(numbers.len(), 1, "{numbers:?}");
+}
+
+#[tokio::test]
+async fn an_ipv6_packet_travels_over_ipv4() {
+    let world = World::start().await;
+    let mut packet = vec![0; 48];
+    packet[0] = 0x60;
+    packet[5] = 8;
+    packet[6..8].copy_from_slice(&[17, 64]);
+    packet[8..24].copy_from_slice(&[0xfd; 16]);
+    packet[24..40].copy_from_slice(&[0xfd, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1]);
+    packet[40..46].copy_from_slice(&[0x9c, 0x40, 0x01, 0xbb, 0, 8]);
+    world.send(false, &encapsulated(&packet, None)).await;
+    packet[7] = 63;
+    assert_eq!(world.receive().await.1, encapsulated(&packet, None));
 }
 
 #[tokio::test]
