--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -81,7 +81,7 @@
 }
 
 /// Counts for metrics.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct PacketCounters {
     /// Datagrams received from the fabric.
     pub from_fabric: u64,
