--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -309,8 +309,10 @@
         }
         let now = self.now();
         self.requests.insert(submit.meta.id, submit.directives);
-        // `submit.forwarded` is for a dispatcher that treats forwarded requests differently.
-        let actions = self.parts.dispatcher.submit(now, submit.meta);
+        let actions = match submit.forwarded {
+            true => self.parts.dispatcher.submit_forwarded(now, submit.meta),
+            false => self.parts.dispatcher.submit(now, submit.meta),
+        };
         self.take_actions(actions);
     }
 }
--- a/crates/jasminecart-entry/src/control/mod.rs
+++ b/crates/jasminecart-entry/src/control/mod.rs
@@ -49,7 +49,6 @@
 #[derive(Debug)]
 pub(crate) struct Submit {
     pub(crate) meta: RequestMeta,
-    #[allow(dead_code)] // Read once the dispatcher has an input for forwarded requests.
     pub(crate) forwarded: bool,
     pub(crate) directives: mpsc::UnboundedSender<Directive>,
 }
--- a/crates/jasminecart-entry/src/request/attempt.rs
+++ b/crates/jasminecart-entry/src/request/attempt.rs
@@ -7,8 +7,10 @@
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
+use jasminecart_core::names::Name;
 use jasminecart_core::request::{FailureCause, NotRunCause, Outcome};
 use jasminecart_core::time::Millis;
+use jasminecart_core::version::TargetState;
 use tokio_util::sync::CancellationToken;
 
 use super::body::{Payload, Progress};
@@ -55,6 +57,8 @@
 /// Where and how long an attempt runs.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptPlan {
+    /// The service and the target, which are absent for another entry VM.
+    pub(crate) target: Option<(Name, Name)>,
     pub(crate) address: SocketAddr,
     pub(crate) version: Version,
     pub(crate) deadline: Millis,
@@ -120,6 +124,10 @@
 ) -> AttemptEnd {
     let progress = Progress::new(cx.clock);
     let remaining = plan.deadline.since(cx.clock.now());
+    // Opening the connection took time, and the process may have been paused.
+    if remaining == Millis::ZERO || !is_in_force(cx, plan) {
+        return AttemptEnd::not_run(NotRunCause::NotSent);
+    }
     let Ok(req) = request.build(lease.version(), remaining, progress.clone()) else {
         return AttemptEnd::not_run(NotRunCause::NotSent);
     };
@@ -144,6 +152,16 @@
     }
 }
 
+/// Tells whether the document in force still gives the target work of the service at this address (I2, I6).
+pub(crate) fn is_in_force(cx: &RequestContext, plan: &AttemptPlan) -> bool {
+    let Some((service, target)) = &plan.target else { return true };
+    let Some(document) = cx.document() else { return false };
+    document.targets().get(target).is_some_and(|target| {
+        let active = target.state == TargetState::Active;
+        active && target.address == plan.address && target.serves(service)
+    })
+}
+
 fn outcome(failure: SendFailure, cause: FailureCause) -> Outcome {
     match failure {
         SendFailure::NotSent => Outcome::NotRun(NotRunCause::NotSent),
--- a/crates/jasminecart-entry/src/request/run.rs
+++ b/crates/jasminecart-entry/src/request/run.rs
@@ -23,7 +23,7 @@
 
 use super::admission::Admitted;
 use super::answers::{AnswerCopy, RequestIdentity, StoredAnswer};
-use super::attempt::{Answer, AttemptEnd, AttemptPlan, TargetRequest, attempt};
+use super::attempt::{Answer, AttemptEnd, AttemptPlan, TargetRequest, attempt, is_in_force};
 use super::body::{BodyError, ClientBody, MAX_WAITING_PARTS, Part, is_complete};
 use super::headers::{FORWARDED_HEADER, prepare_answer, set_number};
 use super::listener::RequestContext;
@@ -183,28 +183,28 @@
             let span = self.cx.clock.now().since(self.arrived);
             self.cx.metrics.observe_queueing(&labels, span);
         }
-        if !self.may_send(target, address) {
-            let not_sent = Outcome::NotRun(NotRunCause::NotSent);
-            return self.cx.report(id, not_sent).await;
-        }
-        let cancel = CancellationToken::new();
-        self.attempts.cancels.insert(id, cancel.clone());
         let service = &self.admitted.service;
         let plan = AttemptPlan {
+            target: Some((service.name.clone(), target.clone())),
             address,
             version: version_of(service),
             deadline: deadline.min(self.admitted.meta.deadline),
             progress_within: service.progress_timeout,
             shed_statuses: service.shed_statuses.clone(),
         };
+        if !self.may_send() || !is_in_force(&self.cx, &plan) {
+            let not_sent = Outcome::NotRun(NotRunCause::NotSent);
+            return self.cx.report(id, not_sent).await;
+        }
+        let cancel = CancellationToken::new();
+        self.attempts.cancels.insert(id, cancel.clone());
         let running = attempt(self.cx.clone(), self.request.clone(), plan, cancel);
         self.attempts.running.push(Box::pin(async move { (id, running.await) }));
     }
 
     /// Checks a send against the promises of the listener, whatever the dispatcher decided: a request that
-    /// is not idempotent is never sent while another attempt may have run (I5), and a target that no longer
-    /// serves the service gets no request for it (I2).
-    fn may_send(&self, target: &Name, address: SocketAddr) -> bool {
+    /// is not idempotent, or that has a key, is never sent while another attempt may have run (I5).
+    fn may_send(&self) -> bool {
         let in_doubt = self.attempts.may_have_run || !self.attempts.running.is_empty();
         let meta = &self.admitted.meta;
         let safe = (meta.idempotent && meta.key.is_none()) || !in_doubt;
@@ -212,12 +212,7 @@
             count(&self.cx.metrics.counters.second_runs_refused);
         }
         invariant!(safe, "a request that may have run and is not idempotent was to be sent again");
-        let document = self.cx.document();
-        let document = document.as_ref().unwrap_or(&self.admitted.document);
-        let serves = document.targets().get(target).is_some_and(|target| {
-            target.address == address && target.serves(&self.admitted.meta.service)
-        });
-        safe && serves && self.request.payload.is_available()
+        safe && self.request.payload.is_available()
     }
 
     async fn on_end(&mut self, id: AttemptId, end: AttemptEnd) -> Option<Ending> {
@@ -332,6 +327,7 @@
         let mut request = self.request.clone();
         set_number(&mut request.headers, FORWARDED_HEADER, self.hops + 1);
         let plan = AttemptPlan {
+            target: None,
             address,
             version: Version::Http1,
             deadline: self.admitted.meta.deadline,
