Confirm renewed hints and settle conflicting decisions of two owners

A hint renewed by a packet through the owner is trusted 2 s later, an owner notes hints given by its predecessors, and no hint follows a FIN.

--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -58,6 +58,8 @@
     pub(super) state: State,
     /// Whether other VMs may hold hints.
     pub(super) hinted: bool,
+    /// Whether a hint was renewed, which holds unless the owner revokes it.
+    pub(super) is_asking: bool,
     /// Forwarded packets since the last hint.
     pub(super) forwards: u8,
 }
@@ -74,6 +76,11 @@
         open && now.since(self.opened()) < SYN_SPAN
     }
 
+    /// Tells whether the flow was opened within the last second, which is the resolution of the entry.
+    pub(super) fn is_new(&self, now: Millis) -> bool {
+        seconds(now) <= self.opened + 1
+    }
+
     fn last(&self) -> Millis {
         Millis::from_secs(self.last.into())
     }
@@ -155,7 +162,15 @@
             return Err(TableFull);
         }
         let stamp = seconds(now);
-        let entry = Entry { target, opened: stamp, last: stamp, state, hinted: false, forwards: 0 };
+        let entry = Entry {
+            target,
+            opened: stamp,
+            last: stamp,
+            state,
+            hinted: false,
+            is_asking: false,
+            forwards: 0,
+        };
         self.entries.insert(flow, entry);
         self.enqueue(now, flow, state);
         invariant!(
@@ -184,10 +199,18 @@
         }
     }
 
-    /// Notes that a hint was confirmed by a packet sent through the owner.
+    /// Notes that another VM holds a hint for a flow.
+    pub(super) fn set_hinted(&mut self, flow: u64) {
+        if let Some(entry) = self.entries.get_mut(&flow) {
+            entry.hinted = true;
+        }
+    }
+
+    /// Notes that a packet was sent through the owner to confirm a hint.
     pub(super) fn renew(&mut self, now: Millis, flow: u64) {
         if let Some(entry) = self.entries.get_mut(&flow) {
             entry.opened = seconds(now);
+            entry.is_asking = true;
         }
     }
 
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -20,6 +20,8 @@
 const MAX_HOPS: u8 = 3;
 /// A hint that is older is confirmed by sending the next packet through the owner.
 const RENEW_SPAN: Millis = Millis::from_secs(20);
+/// An owner that disagrees with a hint revokes it within this span.
+const ANSWER_SPAN: Millis = Millis::from_secs(2);
 /// Forwarded packets of a flow before an owner sends a hint.
 const HINT_AFTER: u8 = 3;
 /// The most flows on base targets whose packets are counted for hints.
@@ -167,8 +169,10 @@
         if self.is_first(cx) || cx.header.hops >= 2 {
             let second = cx.rank[1];
             let known = self.known(now, cx).is_some_and(|entry| entry.is_opening(now));
-            // After a pause this VM may not know that a target is draining.
-            if !cx.trusted && !known && cx.may_pass() && self.is_answering(second) {
+            // After a pause this VM may not know that a target is draining. The decision takes one more hop
+            // and comes back on another.
+            let may_return = cx.header.hops + 2 <= MAX_HOPS && cx.rank[0] == self.owners.me();
+            if !cx.trusted && !known && may_return && self.is_answering(second) {
                 self.flows.remove(cx.flow);
                 return Verdict::Pass { to: second, target: 0, record: true };
             }
@@ -247,11 +251,16 @@
         let earlier = self.known(now, cx).filter(|entry| entry.is_opening(now));
         if cx.kind == PacketKind::Syn
             && let Some(entry) = earlier.filter(|entry| entry.target != target)
-            && cx.may_pass()
-            && !self.is_first(cx)
         {
-            // The first owner does not know that the SYN is a retransmission, as after a change of owners.
-            return Verdict::Pass { to: cx.rank[0], target: entry.target, record: true };
+            // The other owner does not know that the SYN is a retransmission, as after a change of owners
+            // or a pause.
+            let decided_now = entry.state == State::HalfOpen && entry.is_new(now);
+            if self.is_first(cx) && !decided_now {
+                return Verdict::Deliver(entry.target);
+            }
+            if !self.is_first(cx) && cx.may_pass() {
+                return Verdict::Pass { to: cx.rank[0], target: entry.target, record: true };
+            }
         }
         let known = self.flows.get(now, cx.flow).copied();
         let known = known.filter(|entry| entry.target == target && entry.state != State::Hint);
@@ -304,8 +313,11 @@
 
     fn known_flow(&mut self, now: Millis, cx: &Context, entry: Entry) -> Verdict {
         let target = entry.target;
-        if cx.header.target != 0 && cx.header.target != target {
-            self.revoke(cx);
+        match cx.header.target {
+            0 => {}
+            // Another VM holds a hint, perhaps from an earlier owner.
+            believed if believed == target => self.flows.set_hinted(cx.flow),
+            _ => self.revoke(cx),
         }
         let ask_first = Verdict::Pass { to: cx.rank[0], target, record: false };
         let first = self.is_first(cx);
@@ -348,7 +360,7 @@
                 return ask_first;
             }
         }
-        if owner {
+        if owner && entry.state != State::Closing && !closes {
             self.hint(now, cx, target);
         }
         if !first && !cx.unasked && cx.header.target == 0 {
@@ -361,17 +373,19 @@
         let target = entry.target;
         let first = self.is_first(cx);
         let next = if first { cx.rank[1] } else { cx.rank[0] };
-        let stale = now.since(entry.opened()) >= RENEW_SPAN || !cx.trusted;
-        let ask = (stale || closes) && cx.may_pass() && self.is_answering(next);
+        let age = now.since(entry.opened());
+        let stale = age >= RENEW_SPAN;
+        let unsure = stale || !cx.trusted || entry.is_asking && age < ANSWER_SPAN;
+        let ask = (unsure || closes) && cx.may_pass() && self.is_answering(next);
         if closes && !first {
             self.flows.remove(cx.flow);
-        } else if ask {
+        } else if ask && stale {
             self.flows.renew(now, cx.flow);
         }
         if ask {
             return Verdict::Pass { to: next, target, record: false };
         }
-        if first {
+        if first && !closes {
             self.hint(now, cx, target);
         }
         Verdict::Deliver(target)
@@ -599,10 +613,7 @@
     /// Revokes the hint of the VM that received the packet from the fabric.
     fn revoke(&mut self, cx: &Context) {
         let Some(vm) = self.owners.get(cx.header.entry).map(|peer| peer.vm.clone()) else { return };
-        let message = FlowMessage::Forget { flow: cx.flow };
-        if self.hint_budget.take(message.wire_bytes()) {
-            self.send(&vm, message);
-        }
+        self.send(&vm, FlowMessage::Forget { flow: cx.flow });
     }
 
     /// Gives the owners an entry that they lack.
