Judge the answers of simulated clients by submission

Cause: the fault runs reported requests without an answer and false not-run that the traces did not support. An end of an earlier submission was taken for the end of the present one, a refusal of another request hid an answer, and a client whose request was forwarded to a killed VM was never told.

Change: submissions have numbers; the refusal has to name the same request; the client follows the VM that has its request.

--- a/crates/jasminecart-bench/src/faults/chaos.rs
+++ b/crates/jasminecart-bench/src/faults/chaos.rs
@@ -10,6 +10,7 @@
 use super::client::ClientState;
 use super::network::Network;
 use super::platform::Platform;
+use super::requests::Submission;
 use super::vm::Vm;
 use super::world::{DATA_CENTRES, World};
 
@@ -190,7 +191,7 @@
             .filter(|(_, request)| {
                 request.state == ClientState::Waiting && request.at.as_ref() == Some(process)
             })
-            .map(|(id, _)| *id)
+            .map(|(id, request)| Submission { request: *id, number: request.submissions })
             .collect();
         for id in waiting {
             self.end_for_client(id, ClientState::Unknown);
--- a/crates/jasminecart-bench/src/faults/network.rs
+++ b/crates/jasminecart-bench/src/faults/network.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use super::requests::ClientRequestId;
+use super::requests::Submission;
 use super::targets::Arrival;
 
 /// The identity of a process: a VM and its start.
@@ -26,7 +26,7 @@
     Target(Arrival),
     RunEnds { target: jasminecart_core::Name, arrival: Arrival },
     Outcome { to: ProcessId, attempt: AttemptId, outcome: Outcome },
-    Forwarded { to: VmId, from: ProcessId, request: ClientRequestId, deadline: Millis },
+    Forwarded { to: VmId, submission: Submission, deadline: Millis },
 }
 
 /// Events in the order of their time, and the cuts between VMs.
--- a/crates/jasminecart-bench/src/faults/requests.rs
+++ b/crates/jasminecart-bench/src/faults/requests.rs
@@ -19,6 +19,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ClientRequestId(pub(super) u64);
 
+/// One submission of a request. What ends an earlier submission no longer concerns the client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Submission {
+    pub(super) request: ClientRequestId,
+    /// The number of the submission, from 1.
+    pub(super) number: u32,
+}
+
 const MAX_SUBMISSIONS: u32 = 4;
 const DEADLINE: Millis = Millis::from_secs(8);
 /// A connection without progress for this span is given up as silent.
@@ -96,25 +104,19 @@
         request.deadline = now + DEADLINE;
         request.at = Some(process.clone());
         let deadline = request.deadline;
+        let submission = Submission { request: id, number: request.submissions };
         if self.vms[vm].paused_until > now {
-            let event =
-                Event::Forwarded { to: process.0.clone(), from: process, request: id, deadline };
+            let event = Event::Forwarded { to: process.0, submission, deadline };
             self.vms[vm].events.push_back(event);
         } else {
-            self.submit(vm, id, deadline, None);
+            self.submit(vm, submission, deadline);
         }
     }
 
     /// Hands a request to the dispatcher of a VM, from a client or from another VM.
-    pub(super) fn submit(
-        &mut self,
-        vm: usize,
-        id: ClientRequestId,
-        deadline: Millis,
-        _from: Option<ProcessId>,
-    ) {
+    pub(super) fn submit(&mut self, vm: usize, submission: Submission, deadline: Millis) {
         let now = self.now;
-        let Some(request) = self.clients.requests.get(&id) else { return };
+        let Some(request) = self.clients.requests.get(&submission.request) else { return };
         let Some(process) = self.vms[vm].process.as_mut() else { return };
         process.next_request += 1;
         let meta = RequestMeta {
@@ -127,7 +129,7 @@
             repeatable: true,
             key: request.key.clone(),
         };
-        process.requests.insert(meta.id, id);
+        process.requests.insert(meta.id, submission);
         let actions = process.dispatcher.submit(now, meta);
         self.apply_actions(vm, actions);
     }
@@ -152,19 +154,25 @@
     fn forward(&mut self, vm: usize, request: RequestId, to: jasminecart_core::VmId) {
         let (now, from) = (self.now, self.process_id(vm));
         let Some(process) = self.vms[vm].process.as_mut() else { return };
-        let Some(id) = process.requests.remove(&request) else { return };
-        let deadline = self.clients.requests.get(&id).map_or(now, |request| request.deadline);
+        let Some(submission) = process.requests.remove(&request) else { return };
+        let client = self.clients.requests.get(&submission.request);
+        let deadline = client.map_or(now, |request| request.deadline);
         if self.network.is_open(now, &from.0, &to) && self.find(&to).is_some() {
-            let event = Event::Forwarded { to, from, request: id, deadline };
+            // When the VM that the request was forwarded to dies, the client hears of it.
+            let at = self.find(&to).map(|index| self.process_id(index));
+            if let Some(request) = self.clients.requests.get_mut(&submission.request) {
+                request.at = at;
+            }
+            let event = Event::Forwarded { to, submission, deadline };
             self.network.at(now + Millis(2), event);
         } else {
-            self.end_for_client(id, ClientState::Unknown);
+            self.end_for_client(submission, ClientState::Unknown);
         }
     }
 
     /// Tells the client that a forwarded request did not arrive.
-    pub(super) fn forward_failed(&mut self, _from: &ProcessId, request: ClientRequestId) {
-        self.end_for_client(request, ClientState::Unknown);
+    pub(super) fn forward_failed(&mut self, submission: Submission) {
+        self.end_for_client(submission, ClientState::Unknown);
     }
 
     fn send_attempt(
@@ -177,7 +185,8 @@
     ) {
         let (now, from) = (self.now, self.process_id(vm));
         let Some(process) = self.vms[vm].process.as_mut() else { return };
-        let Some(id) = process.requests.get(&request).copied() else { return };
+        let Some(submission) = process.requests.get(&request).copied() else { return };
+        let id = submission.request;
         let open = OpenAttempt { request, target: target.clone(), deadline };
         process.attempts.insert(attempt, open);
         self.check_send(vm, id, &target);
@@ -279,13 +288,13 @@
         let Some(process) = self.vms[vm].process.as_mut() else { return };
         let open = process.attempts.remove(&attempt);
         let actions = process.dispatcher.on_outcome(now, attempt, outcome);
-        let answered = matches!(outcome, Outcome::Done { .. }) && actions_answer(&actions);
         if let Some(open) = open
-            && answered
+            && matches!(outcome, Outcome::Done { .. })
+            && !refuses(&actions, open.request)
         {
-            let id = process.requests.remove(&open.request);
-            if let Some(id) = id {
-                self.end_for_client(id, ClientState::Answered);
+            let submission = process.requests.remove(&open.request);
+            if let Some(submission) = submission {
+                self.end_for_client(submission, ClientState::Answered);
             }
         }
         self.apply_actions(vm, actions);
@@ -316,21 +325,25 @@
 
     fn refuse(&mut self, vm: usize, request: RequestId, refusal: Refusal) {
         let Some(process) = self.vms[vm].process.as_mut() else { return };
-        let Some(id) = process.requests.remove(&request) else { return };
+        let Some(submission) = process.requests.remove(&request) else { return };
         let state = match refusal.state {
             RunState::NotRun => ClientState::NotRun,
             RunState::Unknown => ClientState::Unknown,
         };
-        self.end_for_client(id, state);
+        self.end_for_client(submission, state);
     }
 
     /// Tells a client how its request ended.
-    pub(super) fn end_for_client(&mut self, id: ClientRequestId, state: ClientState) {
+    pub(super) fn end_for_client(&mut self, submission: Submission, state: ClientState) {
+        let id = submission.request;
         let repeats = self.rng.random_bool(0.7);
         let wait = Millis(self.rng.random_range(10..3_000));
         let runs = self.targets.runs.get(&id).copied().unwrap_or(0);
         let now = self.now;
         let Some(request) = self.clients.requests.get_mut(&id) else { return };
+        if request.submissions != submission.number {
+            return;
+        }
         request.state = state;
         match state {
             ClientState::Answered => {
@@ -376,7 +389,6 @@
     }
 }
 
-// An outcome that the dispatcher does not know, because it is late or doubled, answers nobody.
-fn actions_answer(actions: &[Action]) -> bool {
-    !actions.iter().any(|action| matches!(action, Action::Refuse { .. }))
+fn refuses(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Refuse { request, .. } if *request == id))
 }
--- a/crates/jasminecart-bench/src/faults/vm.rs
+++ b/crates/jasminecart-bench/src/faults/vm.rs
@@ -11,7 +11,7 @@
 use jasminecart_core::{Incarnation, Millis, Name};
 
 use super::network::Event;
-use super::requests::ClientRequestId;
+use super::requests::Submission;
 
 /// An attempt in progress.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
     pub(super) adopted_at: Millis,
     /// The revision after which a watch waits at the platform.
     pub(super) watch: Option<Revision>,
-    pub(super) requests: BTreeMap<RequestId, ClientRequestId>,
+    pub(super) requests: BTreeMap<RequestId, Submission>,
     pub(super) attempts: BTreeMap<AttemptId, OpenAttempt>,
     pub(super) next_request: u64,
     pub(super) leaving_since: Option<Millis>,
--- a/crates/jasminecart-bench/src/faults/world.rs
+++ b/crates/jasminecart-bench/src/faults/world.rs
@@ -221,7 +221,7 @@
         match (receiver, event) {
             (_, Event::Target(arrival)) => self.arrive_at_target(arrival),
             (_, Event::RunEnds { target, arrival }) => self.end_run(&target, arrival),
-            (None, Event::Forwarded { from, request, .. }) => self.forward_failed(&from, request),
+            (None, Event::Forwarded { submission, .. }) => self.forward_failed(submission),
             (None, _) => {}
             (Some(index), event) if self.vms[index].paused_until > now => {
                 self.vms[index].events.push_back(event);
@@ -261,8 +261,8 @@
                 self.apply_events(index, events);
             }
             Event::Outcome { attempt, outcome, .. } => self.end_attempt(index, attempt, outcome),
-            Event::Forwarded { from, request, deadline, .. } => {
-                self.submit(index, request, deadline, Some(from));
+            Event::Forwarded { submission, deadline, .. } => {
+                self.submit(index, submission, deadline);
             }
             Event::Target(_) | Event::RunEnds { .. } => {}
         }
