--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -17,6 +17,11 @@
 /// How long an idle UDP flow stays known.
 const DATAGRAM_SPAN: Millis = Millis::from_secs(300);
 
+/// The resolution of the times of an entry. 32 bits of it last two years.
+const STEP: Millis = Millis(16);
+/// An owner that has just decided hears within this span that the other one decided before.
+const DECISION_SPAN: Millis = Millis(48);
+
 /// What is known of the state of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -50,9 +55,9 @@
 pub(super) struct Entry {
     /// The key of the target.
     pub(super) target: u64,
-    /// When the flow was opened, or when a hint was renewed, in seconds.
+    /// When the flow was opened, or when a hint was renewed, in steps of [`STEP`].
     opened: u32,
-    /// When the last packet was seen, in seconds.
+    /// When the last packet was seen, in steps of [`STEP`].
     last: u32,
     /// The state of the flow.
     pub(super) state: State,
@@ -67,7 +72,7 @@
 impl Entry {
     /// Tells when the flow was opened or the hint renewed.
     pub(super) fn opened(&self) -> Millis {
-        Millis::from_secs(self.opened.into())
+        instant(self.opened)
     }
 
     /// Tells whether a SYN seen now is a retransmission.
@@ -76,13 +81,13 @@
         open && now.since(self.opened()) < SYN_SPAN
     }
 
-    /// Tells whether the flow was opened within the last second, which is the resolution of the entry.
+    /// Tells whether the flow was opened by the packet that is on its way now.
     pub(super) fn is_new(&self, now: Millis) -> bool {
-        seconds(now) <= self.opened + 1
+        now.since(self.opened()) <= DECISION_SPAN
     }
 
     fn last(&self) -> Millis {
-        Millis::from_secs(self.last.into())
+        instant(self.last)
     }
 
     /// Tells whether the entry has outlived its use.
@@ -114,7 +119,7 @@
     }
 }
 
-/// Flows with the second in which they were queued, oldest first.
+/// Flows with the step in which they were queued, oldest first.
 type Queue = VecDeque<(u64, u32)>;
 
 /// The table. Every entry that can expire or be evicted is in the queue of its state.
@@ -143,7 +148,7 @@
     /// Returns the entry of a flow for a packet seen now.
     pub(super) fn touch(&mut self, now: Millis, flow: u64) -> Option<&mut Entry> {
         let entry = self.entries.get_mut(&flow).filter(|entry| !entry.is_due(now))?;
-        entry.last = seconds(now);
+        entry.last = steps(now);
         Some(entry)
     }
 
@@ -161,7 +166,7 @@
         if !known && self.entries.len() >= self.max && !self.evict(half_open) {
             return Err(TableFull);
         }
-        let stamp = seconds(now);
+        let stamp = steps(now);
         let entry = Entry {
             target,
             opened: stamp,
@@ -209,7 +214,7 @@
     /// Notes that a packet was sent through the owner to confirm a hint.
     pub(super) fn renew(&mut self, now: Millis, flow: u64) {
         if let Some(entry) = self.entries.get_mut(&flow) {
-            entry.opened = seconds(now);
+            entry.opened = steps(now);
             entry.is_asking = true;
         }
     }
@@ -276,7 +281,7 @@
 
     fn expire_queue(&mut self, now: Millis, state: State) {
         let Some(span) = state.span() else { return };
-        let is_past = |queued: u32| now.since(Millis::from_secs(queued.into())) > span;
+        let is_past = |queued: u32| now.since(instant(queued)) > span;
         while let Some((flow, _)) = self.queue(state).and_then(|queue| pop_if(queue, is_past)) {
             let entry = self.entries.get(&flow).filter(|entry| entry.state == state);
             match entry.map(|entry| entry.is_due(now)) {
@@ -294,7 +299,7 @@
             self.compact(state);
         }
         if let Some(queue) = self.queue(state) {
-            queue.push_back((flow, seconds(now)));
+            queue.push_back((flow, steps(now)));
         }
     }
 
@@ -318,8 +323,12 @@
     }
 }
 
-fn seconds(now: Millis) -> u32 {
-    u32::try_from(now.get() / 1_000).unwrap_or(u32::MAX)
+fn steps(now: Millis) -> u32 {
+    u32::try_from(now.get() / STEP.get()).unwrap_or(u32::MAX)
+}
+
+fn instant(steps: u32) -> Millis {
+    Millis(u64::from(steps) * STEP.get())
 }
 
 fn pop_if(queue: &mut Queue, is_past: impl Fn(u32) -> bool) -> Option<(u64, u32)> {
--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -249,13 +249,13 @@
     }
 
     fn take_entries(&mut self, now: Millis, groups: &[TransferGroup]) {
-        let resumed = self.freshness.resumed_at();
+        let backlog = self.freshness.backlog_end();
         for group in groups {
             for entry in &group.entries {
                 let flow = u64::from_le_bytes(entry.flow);
                 // An entry from before a pause may be outdated: other VMs were owners meanwhile.
                 let keep = self.flows.get(now, flow).is_some_and(|own| {
-                    own.state != State::Hint && resumed.is_none_or(|at| own.opened() >= at)
+                    own.state != State::Hint && backlog.is_none_or(|end| own.opened() >= end)
                 });
                 let Some(state) = decode(entry.state).filter(|_| !keep) else { continue };
                 if self.flows.insert(now, flow, group.target, state).is_ok() {
--- a/crates/jasminecart-core/src/flow/freshness.rs
+++ b/crates/jasminecart-core/src/flow/freshness.rs
@@ -62,7 +62,12 @@
 
     /// Tells whether messages read now may have waited during a pause.
     pub(super) fn reads_backlog(&self, now: Millis) -> bool {
-        self.resumed_at.is_some_and(|resumed| now < resumed + BUFFERED_SPAN)
+        self.backlog_end().is_some_and(|end| now < end)
+    }
+
+    /// Returns when what waited during the last pause was read.
+    pub(super) fn backlog_end(&self) -> Option<Millis> {
+        self.resumed_at.map(|resumed| resumed + BUFFERED_SPAN)
     }
 
     /// Returns when the event loop last resumed after a pause.
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -140,6 +140,11 @@
         if self.document.is_none() {
             return Route::Drop(DropReason::NoDocument);
         }
+        // Packets that waited during a pause may be older than the present flow of their addresses, and
+        // their senders have repeated what matters.
+        if self.freshness.reads_backlog(now) {
+            return Route::Drop(DropReason::Backlog);
+        }
         let Some(service) = self.by_address.get(&key.service_address()).cloned() else {
             return Route::Drop(DropReason::NoService);
         };
@@ -168,13 +173,16 @@
         // A packet that was passed on twice comes from a VM that takes this one for the first owner.
         if self.is_first(cx) || cx.header.hops >= 2 {
             let second = cx.rank[1];
-            let known = self.known(now, cx).is_some_and(|entry| entry.is_opening(now));
-            // After a pause this VM may not know that a target is draining. The decision takes one more hop
-            // and comes back on another.
-            let may_return = cx.header.hops + 2 <= MAX_HOPS && cx.rank[0] == self.owners.me();
-            if !cx.trusted && !known && may_return && self.is_answering(second) {
+            let known = self.known(now, cx);
+            let known =
+                known.is_some_and(|own| own.is_opening(now) && !self.is_doubtful(now, &own));
+            // After a pause this VM may not know that a target is draining, nor what others decided.
+            let hands_over = !cx.trusted && !known && cx.rank[0] == self.owners.me();
+            if hands_over && cx.may_pass() && self.is_answering(second) {
                 self.flows.remove(cx.flow);
-                return Verdict::Pass { to: second, target: 0, record: true };
+                // The decision takes one more hop and comes back on another, if there is one left.
+                let record = cx.header.hops + 2 <= MAX_HOPS;
+                return Verdict::Pass { to: second, target: 0, record };
             }
             return self.decide(now, cx);
         }
@@ -510,6 +518,7 @@
                     DropReason::NoService => counters.dropped_no_service += 1,
                     DropReason::TableFull => counters.dropped_table_full += 1,
                     DropReason::NoFragment => counters.dropped_no_fragment += 1,
+                    DropReason::Backlog => counters.dropped_backlog += 1,
                     DropReason::NoDocument | DropReason::NoTarget => {}
                 }
             }
@@ -544,8 +553,8 @@
 
     /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one.
     fn is_doubtful(&self, now: Millis, entry: &Entry) -> bool {
-        let resumed = self.freshness.resumed_at();
-        resumed.is_some_and(|at| entry.opened() < at) && !self.is_complete(now)
+        let backlog = self.freshness.backlog_end();
+        backlog.is_some_and(|end| entry.opened() < end) && !self.is_complete(now)
     }
 
     /// Tells whether a VM is expected to answer.
--- a/crates/jasminecart-core/src/flow/types.rs
+++ b/crates/jasminecart-core/src/flow/types.rs
@@ -58,6 +58,8 @@
     TableFull,
     /// The first fragment of the packet was not seen here.
     NoFragment,
+    /// The packet waited while this process was paused.
+    Backlog,
 }
 
 /// Why a flow goes where it goes, for operators.
@@ -86,6 +88,8 @@
     pub dropped_table_full: u64,
     /// Later fragments dropped because the first one is unknown.
     pub dropped_no_fragment: u64,
+    /// Packets dropped because they waited while this process was paused.
+    pub dropped_backlog: u64,
     /// New flows decided by this VM as an owner.
     pub decided: u64,
     /// New flows that went to the base target unrecorded because the table was full.
