--- a/crates/jasminecart-bench/src/faults/flows.rs
+++ b/crates/jasminecart-bench/src/faults/flows.rs
@@ -290,7 +290,7 @@
         let flow = &mut self.flows.flows[index];
         flow.target = Some(target.clone());
         flow.next_packet = now + Millis(5);
-        self.check_new_work(vm, target, "flow");
+        self.check_new_work(vm, target, &format!("flow ({})", self.trace_of(index)));
     }
 
     /// Checks I6 for new work at a target, through a VM that was able to learn of the drain.
@@ -305,6 +305,11 @@
         }
     }
 
+    fn trace_of(&self, index: usize) -> String {
+        let trace = &self.flows.flows[index].trace;
+        trace.iter().map(Decision::to_string).collect::<Vec<_>>().join(", ")
+    }
+
     // What each VM of the data centre would do with the flow, the one that broke it first.
     fn explain_flow(&self, last: usize, index: usize) -> String {
         let flow = &self.flows.flows[index];
@@ -340,9 +345,7 @@
         } else {
             self.verdict.broken_by_plan += 1;
             let explanations = self.explain_flow(vm, index);
-            let trace = &self.flows.flows[index].trace;
-            let trace: Vec<String> = trace.iter().map(Decision::to_string).collect();
-            let trace = trace.join(", ");
+            let trace = self.trace_of(index);
             let text = format!("{text} after {deaths} deaths; {explanations}; decisions: {trace}");
             self.verdict.violate(now, "I1", text);
         }
