--- a/crates/jasminecart-standin/src/request_target.rs
+++ b/crates/jasminecart-standin/src/request_target.rs
@@ -34,7 +34,7 @@
     pub slots: usize,
     /// How long a request takes.
     pub work: Duration,
-    /// How long after its start a request takes [`COLD_FACTOR`] times as long.
+    /// How long after its start a request takes four times as long.
     pub cold: Duration,
 }
 
--- a/crates/jasminecart-standin/src/requests.rs
+++ b/crates/jasminecart-standin/src/requests.rs
@@ -209,7 +209,10 @@
                 Ok(Ok(answer)) if answer.parts.status.is_success() => {
                     return String::from_utf8(answer.body.to_vec()).ok();
                 }
-                Ok(Err(SendError::NotConnected)) => tokio::time::sleep(CONNECT_PAUSE).await,
+                // A VM that stops issues no keys, and another one may.
+                Ok(Ok(_) | Err(SendError::NotConnected)) => {
+                    tokio::time::sleep(CONNECT_PAUSE).await;
+                }
                 _ => return None,
             }
         }
