Call a VM ready once it has joined

With the real membership and dispatcher merged, the test of key records of a stopped VM failed in four of four runs: the other VM said that it was ready while it was still joining, so it could not become the successor.

--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -295,7 +295,8 @@
     }
 
     fn note_ready(&mut self) {
-        let ready = self.parts.adoption.is_ready() && !self.leaving;
+        // Whoever replaces VMs waits for this VM before the next stop, so it must be able to take over.
+        let ready = self.parts.adoption.is_ready() && self.joined && !self.leaving;
         if ready != self.ready {
             self.ready = ready;
             let revision = self.revision().0;
@@ -440,8 +441,8 @@
         let actions = self.parts.dispatcher.tick(now);
         self.take_actions(actions);
         self.flush_packets();
-        self.note_ready();
         self.join(now);
+        self.note_ready();
     }
 }
 
