Test adoption under outages, stale views, losses and any message

Cause: adoption was only measured.

Change: contract tests for monotonic revisions, digest conflicts, invalid documents, a platform that goes back, the start, the bounds of requests to the platform, transfers by sections, pacing and the digest after assembly; fault cases; randomised runs; and a property test over all messages.

--- /dev/null
+++ b/crates/jasminecart-core/tests/adoption.rs
@@ -0,0 +1,424 @@
+//! Contract tests and fault cases of adoption.
+
+mod adoption_net;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use jasminecart_core::invariant;
+use jasminecart_core::version::{
+    AdoptionAlert, Digest, Document, DocumentMessage, Part, Piece, PlatformReply, Revision, Stamp,
+    Step,
+};
+use jasminecart_core::{Millis, PeerMessage};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+use self::adoption_net::{Net, document, large, members, new_adoption, text, vm};
+
+fn alerts(steps: &[Step]) -> Vec<&AdoptionAlert> {
+    steps
+        .iter()
+        .filter_map(|step| if let Step::Alert(alert) = step { Some(alert) } else { None })
+        .collect()
+}
+
+fn in_force(steps: &[Step]) -> Vec<Revision> {
+    let adopted = |step: &Step| match step {
+        Step::Adopt(document) => Some(document.revision()),
+        _ => None,
+    };
+    steps.iter().filter_map(adopted).collect()
+}
+
+fn messages(steps: &[Step]) -> Vec<&DocumentMessage> {
+    let mut messages = Vec::new();
+    for step in steps {
+        let Step::Message(outgoing) = step else { continue };
+        if let PeerMessage::Document(message) = &outgoing.message {
+            messages.push(message);
+        }
+    }
+    messages
+}
+
+// Guards against an accepted document that is taken back (I8).
+#[test_case(&[1, 2, 3], &[1, 2, 3] ; "in order")]
+#[test_case(&[3, 1, 2], &[3] ; "late lower revisions")]
+#[test_case(&[2, 2, 2], &[2] ; "repeated")]
+#[test_case(&[5, 4, 6], &[5, 6] ; "going back and on")]
+fn revisions_only_rise(offered: &[u64], expected: &[u64]) {
+    let mut adoption = new_adoption(0);
+    let mut steps = adoption.start(Millis(1_000));
+    for (turn, revision) in offered.iter().enumerate() {
+        steps.extend(adoption.on_platform(Millis(2_000 + turn as u64), document(*revision)));
+    }
+    let expected: Vec<Revision> = expected.iter().copied().map(Revision).collect();
+    assert_eq!(in_force(&steps), expected);
+}
+
+// Guards against two texts in force under one revision, and against an alert at each message.
+#[test]
+fn another_digest_of_the_same_revision_is_refused_and_reported_once() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(4));
+    let ours = adoption.current().unwrap().digest();
+    let other = PlatformReply::Document { revision: Revision(4), text: text(5) };
+    let steps = adoption.on_platform(Millis(1_020), other.clone());
+    assert!(matches!(alerts(&steps)[..], [AdoptionAlert::DigestConflict { .. }]), "{steps:?}");
+    assert!(alerts(&adoption.on_platform(Millis(1_030), other)).is_empty());
+    let digest = Digest::of("something else");
+    let have = DocumentMessage::Have { revision: Revision(4), digest };
+    let steps = adoption.on_message(Millis(1_040), &vm(1), have.clone());
+    assert!(matches!(alerts(&steps)[..], [AdoptionAlert::DigestConflict { .. }]), "{steps:?}");
+    assert!(alerts(&adoption.on_message(Millis(1_050), &vm(2), have)).is_empty());
+    assert_eq!(adoption.current().unwrap().digest(), ours);
+}
+
+// Guards against an invalid document that replaces a valid one, and against reading it again and again.
+#[test]
+fn an_invalid_document_is_refused_and_not_read_again() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(1));
+    let broken = PlatformReply::Document { revision: Revision(2), text: Arc::from("[what]") };
+    let mut steps = adoption.on_platform(Millis(1_020), broken);
+    assert!(matches!(alerts(&steps)[..], [AdoptionAlert::Invalid { .. }]), "{steps:?}");
+    assert_eq!(adoption.current().unwrap().revision(), Revision(1));
+    steps.extend(adoption.tick(Millis(3_000)));
+    let watch = steps.iter().rfind(|step| matches!(step, Step::Watch { .. }));
+    assert!(matches!(watch, Some(Step::Watch { after: Revision(2) })), "{steps:?}");
+}
+
+// Guards against a platform restored from an old state that rolls the data centre back unnoticed.
+#[test]
+fn a_platform_that_goes_back_is_reported_once_and_asked_less_often() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(9));
+    let mut reverted = 0;
+    let mut watches = 0;
+    for tick in 0..600 {
+        let now = Millis(2_000 + tick * 100);
+        let steps = adoption.tick(now);
+        for _ in steps.iter().filter(|step| matches!(step, Step::Watch { .. })) {
+            watches += 1;
+            reverted += alerts(&adoption.on_platform(now, document(3))).len();
+        }
+    }
+    assert_eq!(reverted, 1);
+    assert!(watches <= 15, "{watches} watches in 60 s");
+    assert_eq!(adoption.current().unwrap().revision(), Revision(9));
+}
+
+// Guards against a start that serves before it knows, or that never serves.
+#[test_case(true, true, 0 ; "both answer")]
+#[test_case(true, false, 3_000 ; "no peer answers")]
+#[test_case(false, true, 3_000 ; "the platform does not answer")]
+fn a_start_waits_for_both_answers_within_a_bound(platform: bool, peers: bool, wait: u64) {
+    let mut adoption = new_adoption(0);
+    let started = Millis(1_000);
+    let mut steps = adoption.start(started);
+    assert!(steps.iter().any(|step| matches!(step, Step::ReadPlatform)));
+    steps = adoption.set_members(started, &members(0, 0..4, 0));
+    let asks = messages(&steps).iter().filter(|m| ***m == DocumentMessage::Ask).count();
+    assert_eq!(asks, 3);
+    if platform {
+        adoption.on_platform(started, document(3));
+    } else {
+        let document = Document::parse(Revision(3), &text(3)).unwrap();
+        give(&mut adoption, started + Millis(1_000), &document);
+    }
+    let digest = Digest::of(text(3).as_bytes());
+    for peer in (1..4).filter(|_| peers) {
+        let have = DocumentMessage::Have { revision: Revision(3), digest };
+        adoption.on_message(started, &vm(peer), have);
+    }
+    if wait > 0 {
+        adoption.tick(started + Millis(wait - 1));
+        assert!(!adoption.is_ready());
+        adoption.tick(started + Millis(wait));
+    }
+    assert!(adoption.is_ready());
+}
+
+/// Lets the adoption take a whole document from VM 1.
+fn give(adoption: &mut jasminecart_core::version::Adoption, now: Millis, document: &Document) {
+    let stamp = Stamp { revision: document.revision(), digest: document.digest() };
+    let Stamp { revision, digest } = stamp;
+    adoption.on_message(now, &vm(1), DocumentMessage::Have { revision, digest });
+    let pieces = vec![Piece::Text(document.text().to_string())];
+    let part = Part { document: stamp, base: None, part: 0, parts: 1, pieces };
+    adoption.on_message(now, &vm(1), DocumentMessage::Part(part));
+}
+
+// Guards against a VM that serves without a document.
+#[test]
+fn a_vm_without_a_document_is_never_ready() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), PlatformReply::Unavailable);
+    for tick in 0..100 {
+        adoption.tick(Millis(2_000 + tick * 100));
+    }
+    assert!(!adoption.is_ready());
+    adoption.on_platform(Millis(20_000), document(1));
+    assert!(adoption.is_ready());
+}
+
+// Guards against a platform that is flooded while it is down, or that ends watches at once.
+// The bounds are 4 requests of the first 8 s and one for each shortest wait of 4 s, and one a second.
+#[test_case(PlatformReply::Unavailable, 17 ; "unavailable")]
+#[test_case(PlatformReply::Unchanged, 61 ; "immediate answers")]
+fn requests_to_the_platform_are_bounded(reply: PlatformReply, most: usize) {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    let mut requests = 0;
+    for tick in 0..600 {
+        let now = Millis(1_000 + tick * 100);
+        let mut steps = adoption.tick(now);
+        while steps.iter().any(|step| matches!(step, Step::Watch { .. })) {
+            requests += 1;
+            steps = adoption.on_platform(now, reply.clone());
+        }
+        if tick == 0 {
+            adoption.on_platform(now, reply.clone());
+        }
+    }
+    assert!(requests <= most, "{requests} requests in 60 s");
+}
+
+// Guards against parts that break the bound of a message, and against whole documents at each change.
+#[test]
+fn only_changed_sections_are_sent_in_bounded_messages() {
+    let mut server = new_adoption(0);
+    server.start(Millis(1_000));
+    let reply =
+        |revision| PlatformReply::Document { revision: Revision(revision), text: large(revision) };
+    server.on_platform(Millis(1_000), reply(1));
+    server.on_platform(Millis(1_100), reply(2));
+    let base = Stamp { revision: Revision(1), digest: Digest::of(large(1).as_bytes()) };
+    let fetch = |base, part| DocumentMessage::Fetch { base, revision: Revision(2), part };
+    let steps = server.on_message(Millis(2_000), &vm(1), fetch(Some(base), 0));
+    let [DocumentMessage::Part(part)] = messages(&steps)[..] else { panic!("{steps:?}") };
+    assert_eq!((part.parts, part.base), (1, Some(Revision(1))));
+    assert!(bytes(part) < 500, "{} bytes for two changed sections", bytes(part));
+
+    let unknown = Stamp { revision: Revision(1), digest: Digest::of("another") };
+    let steps = server.on_message(Millis(3_000), &vm(1), fetch(Some(unknown), 0));
+    let [DocumentMessage::Part(part)] = messages(&steps)[..] else { panic!("{steps:?}") };
+    assert_eq!(part.base, None);
+    assert!(part.parts > 10 && bytes(part) <= 16 << 10);
+}
+
+fn bytes(part: &Part) -> usize {
+    let text = |piece: &Piece| if let Piece::Text(text) = piece { text.len() } else { 0 };
+    part.pieces.iter().map(text).sum()
+}
+
+// Guards against a burst of parts to many peers that breaks the bulk rate of section 6.
+#[test]
+fn parts_are_paced() {
+    let mut server = new_adoption(0);
+    server.start(Millis(1_000));
+    let reply = PlatformReply::Document { revision: Revision(1), text: large(1) };
+    server.on_platform(Millis(1_000), reply);
+    let mut sent = 0;
+    for tick in 0..200 {
+        let now = Millis(2_000 + tick * 50);
+        let mut steps = server.tick(now);
+        for peer in 1..20 {
+            let part = (tick % 10) as u32;
+            let fetch = DocumentMessage::Fetch { base: None, revision: Revision(1), part };
+            steps.extend(server.on_message(now, &vm(peer), fetch));
+        }
+        for message in messages(&steps) {
+            let DocumentMessage::Part(part) = message else { continue };
+            sent += bytes(part);
+        }
+    }
+    assert!(sent <= 11 * (64 << 10), "{sent} bytes in 10 s");
+    assert!(sent >= 8 * (64 << 10), "{sent} bytes in 10 s");
+}
+
+// Guards against a text that is put together from a wrong base or damaged parts.
+#[test]
+fn a_text_with_another_digest_is_not_adopted() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(1));
+    let wrong = Stamp { revision: Revision(2), digest: Digest::of("another") };
+    let have = DocumentMessage::Have { revision: wrong.revision, digest: wrong.digest };
+    adoption.on_message(Millis(2_000), &vm(1), have);
+    let pieces = vec![Piece::Copy { first: 0, count: 1 }];
+    let part = Part { document: wrong, base: Some(Revision(1)), part: 0, parts: 1, pieces };
+    let steps = adoption.on_message(Millis(2_010), &vm(1), DocumentMessage::Part(part));
+    assert!(in_force(&steps).is_empty());
+    assert_eq!(adoption.counters().mismatches, 1);
+    let document = Document::parse(Revision(2), &text(2)).unwrap();
+    give(&mut adoption, Millis(2_020), &document);
+    assert_eq!(adoption.current().unwrap().revision(), Revision(2));
+}
+
+// Guards against faults that keep a new document from a VM. Each case gives the faults before the
+// publication of revision 2 and the bound in seconds.
+#[test_case(9, 5, |_| {} ; "none at 9 vms")]
+#[test_case(40, 13, |_| {} ; "none at 40 vms")]
+#[test_case(9, 5, |net| net.cut_off = net.watching() ; "watchers cut off")]
+#[test_case(9, 5, |net| net.cut_off = (0..8).collect() ; "all but one cut off")]
+#[test_case(9, 30, |net| net.stale = net.watching() ; "watchers see an old state")]
+#[test_case(9, 13, |net| net.loss = 0.3 ; "messages lost")]
+#[test_case(9, 5, |net| net.silent = [1, 2, 3].into() ; "some peers send nothing")]
+fn a_document_comes_into_force_everywhere(size: usize, secs: u64, fault: fn(&mut Net)) {
+    let mut net = Net::new(size, 1);
+    net.run(40);
+    fault(&mut net);
+    net.run(10);
+    net.publish(2);
+    net.run(secs);
+    let late: Vec<usize> = (0..size).filter(|vm| net.revision(*vm) != Some(Revision(2))).collect();
+    assert_eq!(late, []);
+}
+
+// Guards against revisions that go back (asserted in the net) or VMs that never agree after any mixture of
+// faults.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn revisions_agree_after_random_faults(seed: u64) {
+    let mut net = Net::new(12, seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut some =
+        |share: f64| -> BTreeSet<usize> { (0..12).filter(|_| rng.random_bool(share)).collect() };
+    for revision in 2..60 {
+        net.cut_off = some(0.5);
+        net.stale = some(0.3);
+        net.silent = some(0.2);
+        net.asleep = some(0.2);
+        net.loss = if revision % 3 == 0 { 0.2 } else { 0.0 };
+        net.publish(revision);
+        net.run(1 + revision % 5);
+    }
+    (net.cut_off, net.stale, net.silent, net.asleep) = Default::default();
+    net.loss = 0.0;
+    net.run(20);
+    assert!((0..12).all(|vm| net.revision(vm) == Some(Revision(59))));
+}
+
+// Guards against a VM that wakes with an old revision and holds the others up or reverts them.
+#[test]
+fn a_vm_that_wakes_late_catches_up_and_reverts_nobody() {
+    let mut net = Net::new(9, 2);
+    net.run(10);
+    net.asleep.insert(4);
+    // More revisions than the peers keep as bases of transfers.
+    for revision in 2..25 {
+        net.publish(revision);
+        net.run(3);
+    }
+    assert_eq!(net.revision(4), Some(Revision(1)));
+    net.cut_off.insert(4);
+    net.asleep.clear();
+    net.run(5);
+    assert!((0..9).all(|vm| net.revision(vm) == Some(Revision(24))));
+}
+
+// Guards against a data centre without the platform whose new VMs get no document.
+#[test]
+fn peers_supply_the_document_when_the_platform_is_down() {
+    let mut net = Net::new(9, 3);
+    net.run(10);
+    net.cut_off = (0..10).collect();
+    net.start(9);
+    net.run(5);
+    assert_eq!(net.revision(9), Some(Revision(1)));
+    assert!(net.vms[9].is_ready());
+}
+
+// Guards against more readers of the platform than section 8 allows.
+#[test]
+fn three_vms_watch_and_the_others_check_rarely() {
+    let mut net = Net::new(40, 4);
+    net.run(60);
+    let reads = net.reads;
+    net.run(60);
+    assert!(net.reads - reads <= 40 * 2 + 3 * 3, "{} reads in 60 s", net.reads - reads);
+    assert!((3..=6).contains(&net.watching().len()), "{:?}", net.watching());
+}
+
+// Guards against results that cannot be repeated from the seed.
+#[test]
+fn a_run_is_repeated_by_its_seed() {
+    let run = || {
+        let mut net = Net::new(9, 5);
+        net.loss = 0.2;
+        net.run(20);
+        net.publish(2);
+        net.run(20);
+        (net.reads, net.sent)
+    };
+    assert_eq!(run(), run());
+}
+
+fn piece() -> impl Strategy<Value = Piece> {
+    let copy = (any::<u32>(), any::<u32>()).prop_map(|(first, count)| Piece::Copy { first, count });
+    let small = (0..4_u32, 0..4_u32).prop_map(|(first, count)| Piece::Copy { first, count });
+    prop_oneof![copy, small, "(\\[|\\]|=|[a-z]|\n|\\PC){0,40}".prop_map(Piece::Text)]
+}
+
+fn stamp() -> impl Strategy<Value = Stamp> {
+    let revision = prop_oneof![0..4_u64, Just(u64::MAX)];
+    (revision, 0..3_u64).prop_map(|(revision, other)| Stamp {
+        revision: Revision(revision),
+        digest: Digest::of(text(other).as_bytes()),
+    })
+}
+
+fn message() -> impl Strategy<Value = DocumentMessage> {
+    let have =
+        stamp().prop_map(|Stamp { revision, digest }| DocumentMessage::Have { revision, digest });
+    let numbers = prop_oneof![0..4_u32, Just(u32::MAX)];
+    let part = (stamp(), any::<bool>(), numbers.clone(), numbers.clone(), vec(piece(), 0..5))
+        .prop_map(|(document, based, part, parts, pieces)| {
+            let base = based.then_some(Revision(1));
+            DocumentMessage::Part(Part { document, base, part, parts, pieces })
+        });
+    let fetch =
+        (proptest::option::of(stamp()), 0..4_u64, numbers).prop_map(|(base, revision, part)| {
+            DocumentMessage::Fetch { base, revision: Revision(revision), part }
+        });
+    let watch = any::<u64>().prop_map(|span| DocumentMessage::Watch { span: Millis(span) });
+    prop_oneof![have, part, fetch, watch, Just(DocumentMessage::Ask)]
+}
+
+proptest! {
+    // Guards against a panic, a violated invariant or a revision that goes back after any messages.
+    #[test]
+    fn no_message_causes_a_panic(
+        messages in vec((1..4_usize, 0..3_000_u64, message()), 1..40)
+    ) {
+        let mut adoption = new_adoption(0);
+        let mut now = Millis(1_000);
+        adoption.start(now);
+        adoption.set_members(now, &members(0, 0..4, 3));
+        adoption.on_platform(now, document(1));
+        let mut revision = Revision(1);
+        for (from, span, message) in messages {
+            now += Millis(span);
+            let mut steps = adoption.on_message(now, &vm(from), message);
+            steps.extend(adoption.tick(now));
+            prop_assert!(steps.len() < 20);
+            for adopted in in_force(&steps) {
+                prop_assert!(adopted > revision);
+                revision = adopted;
+            }
+        }
+        adoption.tick(Millis::MAX);
+        prop_assert_eq!(invariant::violations(), 0);
+    }
+}
