Adopt revisions below a refused one, and forget what a restarted peer had

Cause: found by reading. A VM that had seen an invalid revision 5 never adopted the valid revision 4 that its peers had in force. A peer that restarted with a lower revision was asked again and again for the revision of its previous process.

Change: refused revisions are a small set instead of a lower bound, and the revision of a peer is kept by process and set by its own report.

--- a/crates/jasminecart-bench/src/documents.rs
+++ b/crates/jasminecart-bench/src/documents.rs
@@ -10,7 +10,7 @@
 use jasminecart_core::{Incarnation, Millis, PeerMessage};
 use serde_json::{Value, json};
 
-use crate::membership::{address, hint, number, vm_id};
+use crate::membership::{Layout, address};
 use crate::message_queue::{InFlight, Links, MessageQueue, median_and_worst};
 use crate::report::Report;
 
@@ -49,6 +49,10 @@
     }
 }
 
+fn layout() -> Layout {
+    Layout { per_data_centre: 1_000 }
+}
+
 /// Returns the text of a revision. Each revision differs from the previous one in two targets, or in all
 /// sections when it is rewritten.
 fn text(size: Size, revision: u64, rewritten: bool) -> Arc<str> {
@@ -172,9 +176,10 @@
         run.publish();
         for number in 0..vms {
             let limits = MemberLimits::default();
-            let new = Membership::new(vm_id(number), Incarnation(1), address(number), seed, limits);
-            let membership = new.with_seeds((0..3).map(hint));
-            let mut adoption = Adoption::new(vm_id(number), seed, AdoptionLimits::default());
+            let new =
+                Membership::new(layout().vm(number), Incarnation(1), address(number), seed, limits);
+            let membership = new.with_seeds(layout().seeds(vms));
+            let mut adoption = Adoption::new(layout().vm(number), seed, AdoptionLimits::default());
             let steps = adoption.start(run.now);
             run.vms.push(Vm { membership, adoption, in_force: Revision(0), ready: false });
             run.steps(number, steps);
@@ -222,7 +227,7 @@
     }
 
     fn deliver(&mut self, message: InFlight) {
-        let (from, to) = (vm_id(message.from), message.to);
+        let (from, to) = (layout().vm(message.from), message.to);
         match message.message {
             PeerMessage::Member(message) => {
                 let events = self.vms[to].membership.on_message(self.now, &from, message);
@@ -252,7 +257,7 @@
     }
 
     fn send(&mut self, from: usize, to: &jasminecart_core::VmId, message: PeerMessage) {
-        self.queue.send(self.now, InFlight { from, to: number(to), message });
+        self.queue.send(self.now, InFlight { from, to: layout().number(to), message });
     }
 
     fn steps(&mut self, vm: usize, steps: Vec<Step>) {
--- a/crates/jasminecart-bench/src/membership.rs
+++ b/crates/jasminecart-bench/src/membership.rs
@@ -22,9 +22,37 @@
 /// A removal of a VM that has run for this long since its last pause is a false positive.
 const RUNNING: Millis = Millis::from_secs(3);
 
-/// Returns the identity of a VM by its number.
-pub(crate) fn vm_id(number: usize) -> VmId {
-    VmId::new("ub-1", format!("entry-{number}"))
+/// How numbered VMs are distributed over data centres.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Layout {
+    /// The number of VMs of each data centre.
+    pub(crate) per_data_centre: usize,
+}
+
+impl Layout {
+    /// Returns the identity of a VM.
+    pub(crate) fn vm(self, number: usize) -> VmId {
+        let data_centre = number / self.per_data_centre;
+        VmId::new(format!("ub-{data_centre}"), format!("entry-{}", number % self.per_data_centre))
+    }
+
+    /// Returns the number of a VM.
+    pub(crate) fn number(self, vm: &VmId) -> usize {
+        let last = |text: &str| text.rsplit('-').next().and_then(|text| text.parse().ok());
+        let part = |text: &str| last(text).unwrap_or(0_usize);
+        part(vm.data_centre.as_str()) * self.per_data_centre + part(vm.name.as_str())
+    }
+
+    /// Returns an entry of the platform's list.
+    pub(crate) fn hint(self, number: usize) -> VmHint {
+        VmHint { vm: self.vm(number), address: address(number), leaving: false }
+    }
+
+    /// Returns the seeds: three VMs of each data centre.
+    pub(crate) fn seeds(self, vms: usize) -> Vec<VmHint> {
+        let seeds = (0..vms).filter(|number| number % self.per_data_centre < 3);
+        seeds.map(|number| self.hint(number)).collect()
+    }
 }
 
 /// Returns the addresses of a VM by its number.
@@ -34,16 +62,6 @@
     PeerAddress { control: at(7001), packets: at(7002), requests: at(7003) }
 }
 
-/// Returns an entry of the platform's list.
-pub(crate) fn hint(number: usize) -> VmHint {
-    VmHint { vm: vm_id(number), address: address(number), leaving: false }
-}
-
-/// Returns the number of a VM by its identity.
-pub(crate) fn number(vm: &VmId) -> usize {
-    vm.name.as_str().rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or_default()
-}
-
 struct Vm {
     membership: Membership,
     alive: bool,
@@ -53,6 +71,8 @@
 struct Run {
     now: Millis,
     seed: u64,
+    size: usize,
+    layout: Layout,
     queue: MessageQueue,
     vms: Vec<Vm>,
     false_positives: u64,
@@ -60,11 +80,13 @@
 }
 
 impl Run {
-    fn new(size: usize, links: Links, seed: u64) -> Run {
+    fn new(size: usize, layout: Layout, links: Links, seed: u64) -> Run {
         let queue = MessageQueue::new(size, links, seed);
         let mut run = Run {
             now: Millis::from_secs(1),
             seed,
+            size,
+            layout,
             queue,
             vms: Vec::new(),
             false_positives: 0,
@@ -77,8 +99,9 @@
     fn start(&self, number: usize) -> Vm {
         let limits = MemberLimits::default();
         let incarnation = Incarnation(1_790_000_000_000 + self.now.get());
-        let new = Membership::new(vm_id(number), incarnation, address(number), self.seed, limits);
-        let mut membership = new.with_seeds((0..3).map(hint));
+        let vm = self.layout.vm(number);
+        let new = Membership::new(vm, incarnation, address(number), self.seed, limits);
+        let mut membership = new.with_seeds(self.layout.seeds(self.size));
         membership.set_ready(self.now);
         Vm { membership, alive: true, runs_from: Millis::ZERO }
     }
@@ -108,7 +131,7 @@
             return self.queue.put(vm.runs_from, message);
         }
         let PeerMessage::Member(message) = message.message else { return };
-        let events = vm.membership.on_message(self.now, &vm_id(from), message);
+        let events = vm.membership.on_message(self.now, &self.layout.vm(from), message);
         self.carry_out(to, events);
     }
 
@@ -126,11 +149,11 @@
         for event in events {
             match event {
                 Event::Message(outgoing) => {
-                    let (to, message) = (number(&outgoing.to), outgoing.message);
+                    let (to, message) = (self.layout.number(&outgoing.to), outgoing.message);
                     self.queue.send(self.now, InFlight { from, to, message });
                 }
                 Event::Died(vm) | Event::Left(vm) => {
-                    let vm = &self.vms[number(&vm)];
+                    let vm = &self.vms[self.layout.number(&vm)];
                     let running = vm.alive && self.now >= vm.runs_from + RUNNING;
                     self.false_positives += u64::from(running);
                 }
@@ -163,7 +186,8 @@
         while self.now.since(started) < Millis::from_secs(30) {
             self.until(self.now + Millis(50));
             for (number, found) in found.iter_mut().enumerate() {
-                let state = self.members(number).get(&vm_id(killed)).map(|member| member.state);
+                let state =
+                    self.members(number).get(&self.layout.vm(killed)).map(|member| member.state);
                 if found.is_none() && state.is_none_or(|state| state == MemberState::Dead) {
                     *found = Some(self.now.since(started).get());
                 }
@@ -183,7 +207,7 @@
         while self.now.since(started) < Millis::from_secs(30) {
             self.until(self.now + Millis(50));
             let back = |number: usize| {
-                let member = self.members(number).get(&vm_id(killed));
+                let member = self.members(number).get(&self.layout.vm(killed));
                 member.is_some_and(|member| member.state == MemberState::Active)
             };
             if (0..self.vms.len()).all(back) {
@@ -193,6 +217,15 @@
         None
     }
 
+    /// Returns the mean and the greatest count of bytes a second that a VM sends in the steady state.
+    fn steady_bytes(&mut self) -> (u64, u64) {
+        self.queue.bytes.fill(0);
+        self.until(self.now + STEADY);
+        let bytes = self.queue.bytes.iter().map(|bytes| bytes * 1_000 / STEADY.get());
+        let bytes: Vec<u64> = bytes.collect();
+        (bytes.iter().sum::<u64>() / self.size as u64, median_and_worst(&bytes).1)
+    }
+
     fn pause(&mut self, number: usize, span: Millis) {
         self.vms[number].runs_from = self.now + span;
     }
@@ -212,15 +245,10 @@
 
 fn measure(size: usize, loss: f64, seed: u64) -> Row {
     let links = Links { loss, duplication: 0.01, delay: (1, 3) };
-    let mut run = Run::new(size, links, seed);
+    let mut run = Run::new(size, Layout { per_data_centre: size }, links, seed);
     run.until(WARM_UP);
     run.fresh = (0, 0);
-    run.queue.bytes.fill(0);
-    run.until(WARM_UP + STEADY);
-    let mut bytes: Vec<u64> =
-        run.queue.bytes.iter().map(|bytes| bytes * 1_000 / STEADY.get()).collect();
-    bytes.sort_unstable();
-    let bytes_per_s = (bytes.iter().sum::<u64>() / size as u64, bytes[size - 1]);
+    let bytes_per_s = run.steady_bytes();
     let fresh_percent = run.fresh.0 as f64 * 100.0 / run.fresh.1.max(1) as f64;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (mut spans, mut restarts, mut missed) = (Vec::new(), Vec::new(), 0);
@@ -297,6 +325,79 @@
     }
 }
 
+/// The figures of several data centres that exchange summaries.
+struct Summaries {
+    data_centres: usize,
+    per_data_centre: usize,
+    bytes_per_s: (u64, u64),
+    restart_known_ms: Option<u64>,
+    death_known_ms: Option<u64>,
+}
+
+fn measure_summaries(data_centres: usize, per_data_centre: usize, seed: u64) -> Summaries {
+    let links = Links { loss: 0.0, duplication: 0.01, delay: (1, 3) };
+    let size = data_centres * per_data_centre;
+    let mut run = Run::new(size, Layout { per_data_centre }, links, seed);
+    run.until(WARM_UP + WARM_UP);
+    let bytes_per_s = run.steady_bytes();
+    run.vms[per_data_centre - 1].alive = false;
+    let death_known_ms = run.known_everywhere(per_data_centre - 1);
+    run.vms[per_data_centre - 1] = run.start(per_data_centre - 1);
+    let restart_known_ms = run.known_everywhere(per_data_centre - 1);
+    Summaries { data_centres, per_data_centre, bytes_per_s, restart_known_ms, death_known_ms }
+}
+
+impl Run {
+    /// Returns how long the VMs of all data centres took to know whether a VM runs.
+    fn known_everywhere(&mut self, changed: usize) -> Option<u64> {
+        let started = self.now;
+        while self.now.since(started) < Millis::from_secs(60) {
+            self.until(self.now + Millis(50));
+            let knows = |number: usize| {
+                let member = self.members(number).get(&self.layout.vm(changed));
+                let state = member.map_or(MemberState::Dead, |member| member.state);
+                (state == MemberState::Active) == self.vms[changed].alive
+            };
+            let mut running = (0..self.size).filter(|number| self.vms[*number].alive);
+            if running.all(knows) {
+                return Some(self.now.since(started).get());
+            }
+        }
+        None
+    }
+}
+
+impl Summaries {
+    fn holds(&self) -> bool {
+        let known = self.death_known_ms.is_some() && self.restart_known_ms.is_some();
+        known && self.bytes_per_s.1 < 10_000
+    }
+
+    fn line(&self) -> String {
+        format!(
+            "{} data centres of {} VMs: a death is known everywhere after {:?} ms and a restart \
+             after {:?} ms; control {} B/s a VM, worst {}",
+            self.data_centres,
+            self.per_data_centre,
+            self.death_known_ms,
+            self.restart_known_ms,
+            self.bytes_per_s.0,
+            self.bytes_per_s.1,
+        )
+    }
+
+    fn figures(&self) -> Value {
+        json!({
+            "data_centres": self.data_centres,
+            "members": self.per_data_centre,
+            "death_known_everywhere_ms": self.death_known_ms,
+            "restart_known_everywhere_ms": self.restart_known_ms,
+            "control_bytes_per_s_mean": self.bytes_per_s.0,
+            "control_bytes_per_s_worst": self.bytes_per_s.1,
+        })
+    }
+}
+
 /// Runs the case.
 pub fn run(seed: u64) -> Report {
     let mut table = vec![
@@ -309,6 +410,9 @@
     let rows: Vec<Row> = cases.map(|(size, loss)| measure(size, loss, seed)).collect();
     table.extend(rows.iter().map(Row::line));
     let figures: Vec<Value> = rows.iter().map(Row::figures).collect();
-    let failed = !rows.iter().all(Row::holds);
-    Report::new(table, json!({ "seed": seed, "rows": figures })).with_failed(failed)
+    let summaries = measure_summaries(6, 35, seed);
+    table.push(summaries.line());
+    let failed = !rows.iter().all(Row::holds) || !summaries.holds();
+    let figures = json!({ "seed": seed, "rows": figures, "summaries": summaries.figures() });
+    Report::new(table, figures).with_failed(failed)
 }
--- a/crates/jasminecart-core/src/version/adoption/mod.rs
+++ b/crates/jasminecart-core/src/version/adoption/mod.rs
@@ -5,6 +5,7 @@
 mod history;
 mod limits;
 mod platform;
+mod refused;
 mod sections;
 mod serve;
 mod sources;
@@ -21,6 +22,7 @@
 use self::fetch::{Fetch, Received};
 use self::history::History;
 use self::platform::{Platform, Request};
+use self::refused::Refused;
 use self::serve::Server;
 use self::sources::Sources;
 use self::start::Start;
@@ -84,8 +86,7 @@
     rng: ChaCha8Rng,
     start: Start,
     current: Option<Arc<Document>>,
-    /// The highest revision that was refused as invalid.
-    refused: Option<Stamp>,
+    refused: Refused,
     history: History,
     sources: Sources,
     platform: Platform,
@@ -106,7 +107,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed ^ rendezvous::hash(("adoption", &me))),
             start: Start::default(),
             current: None,
-            refused: None,
+            refused: Refused::default(),
             history: History::default(),
             sources: Sources::new(me),
             platform: Platform::default(),
@@ -134,13 +135,15 @@
         self.start.platform_answered = true;
         match reply {
             PlatformReply::Document { revision, text } => {
-                let seen = self.seen();
+                let (in_force, asked) = (self.in_force(), self.after());
                 self.offer(now, revision, &text);
-                if revision < seen {
+                if revision < in_force {
                     self.note_reverted(revision);
+                }
+                if revision < asked {
                     self.platform.failed(now, &mut self.rng, &self.limits);
                 } else {
-                    self.platform.answered(now, revision > seen);
+                    self.platform.answered(now, revision > asked);
                 }
             }
             PlatformReply::Unchanged => self.platform.answered(now, false),
@@ -212,17 +215,21 @@
     }
 
     fn finish(&mut self, now: Millis) -> Vec<Step> {
-        let settled = self.fetch.is_none() && self.sources.newer(self.seen()).is_none();
+        let settled =
+            self.fetch.is_none() && self.sources.newer(self.in_force(), &self.refused).is_none();
         let timed_out = !self.start.is_within(now, self.limits.start_within);
         self.start.refresh(self.current.is_some(), settled, timed_out);
         std::mem::take(&mut self.out)
     }
 
-    /// Returns the highest revision that needs no further attention.
-    fn seen(&self) -> Revision {
-        let current = self.current.as_ref().map(|document| document.revision());
-        let refused = self.refused.map(|refused| refused.revision);
-        current.max(refused).unwrap_or_default()
+    /// Returns the revision in force, or 0.
+    fn in_force(&self) -> Revision {
+        self.current.as_ref().map(|document| document.revision()).unwrap_or_default()
+    }
+
+    /// Returns the revision above which the platform has news for this VM.
+    fn after(&self) -> Revision {
+        self.in_force().max(self.refused.highest().unwrap_or_default())
     }
 
     fn stamp(&self) -> Option<Stamp> {
@@ -240,10 +247,10 @@
         self.out.push(Step::Message(Outgoing::new(to.clone(), message)));
     }
 
-    /// Puts a document into force when it is newer than all seen before. Returns whether it did.
+    /// Puts a document into force when it is newer than the one in force. Returns whether it did.
     fn offer(&mut self, now: Millis, revision: Revision, text: &str) -> bool {
-        if revision <= self.seen() {
-            self.counters.outdated += u64::from(revision < self.seen());
+        if revision <= self.in_force() || self.refused.contains(revision) {
+            self.counters.outdated += u64::from(revision < self.in_force());
             self.note_digest(Stamp { revision, digest: Digest::of(text) });
             return false;
         }
@@ -254,7 +261,7 @@
             }
             Err(errors) => {
                 self.counters.invalid += 1;
-                self.refused = Some(Stamp { revision, digest: Digest::of(text) });
+                self.refused.insert(Stamp { revision, digest: Digest::of(text) });
                 self.out.push(Step::Alert(AdoptionAlert::Invalid { revision, errors }));
                 false
             }
@@ -276,6 +283,7 @@
             self.fetch = None;
         }
         self.fetch_whole = false;
+        self.refused.forget_until(stamp.revision);
         self.out.push(Step::Adopt(document));
         let mut peers = self.sources.peers();
         let (chosen, _) = peers.partial_shuffle(&mut self.rng, self.limits.push);
@@ -288,7 +296,7 @@
 
     /// Compares a digest with that of the same revision here.
     fn note_digest(&mut self, theirs: Stamp) {
-        let known = [self.stamp(), self.refused].into_iter().flatten();
+        let known = [self.stamp(), self.refused.get(theirs.revision)].into_iter().flatten();
         let same = known.into_iter().find(|ours| ours.revision == theirs.revision);
         let Some(ours) = same.filter(|ours| ours.digest != theirs.digest) else { return };
         if let Some(alert) = self.reported.conflict(ours, theirs.digest) {
@@ -307,7 +315,7 @@
         self.counters.platform_reads += u64::from(request != Request::StopWatch);
         self.out.push(match request {
             Request::Read => Step::ReadPlatform,
-            Request::Watch => Step::Watch { after: self.seen() },
+            Request::Watch => Step::Watch { after: self.after() },
             Request::StopWatch => Step::StopWatch,
         });
     }
@@ -361,7 +369,9 @@
 
     fn on_have(&mut self, from: &VmId, theirs: Stamp) {
         self.start.answer(from);
-        self.sources.note(from, theirs.revision);
+        self.sources.set(from, theirs.revision);
+        // The source has restarted with less than it had.
+        self.fetch.take_if(|fetch| fetch.source == *from && theirs.revision < fetch.revision);
         self.note_digest(theirs);
         if self.stamp().is_some_and(|ours| ours.revision > theirs.revision) {
             let have = self.have();
@@ -404,7 +414,9 @@
         if from_platform && self.start.is_within(now, PLATFORM_FIRST) {
             return;
         }
-        let Some((revision, vms)) = self.sources.newer(self.seen()) else { return };
+        let Some((revision, vms)) = self.sources.newer(self.in_force(), &self.refused) else {
+            return;
+        };
         let Some(source) = vms.choose(&mut self.rng).copied().cloned() else { return };
         let base = self.current.clone().filter(|_| !self.fetch_whole);
         self.counters.fetches += 1;
@@ -429,7 +441,7 @@
             return;
         }
         self.sources.forget(&fetch.source);
-        let newer = self.sources.newer(self.seen());
+        let newer = self.sources.newer(self.in_force(), &self.refused);
         let vms = newer.filter(|(revision, _)| *revision >= fetch.revision).map(|(_, vms)| vms);
         let source = vms.and_then(|vms| vms.choose(&mut self.rng).copied().cloned());
         let Some(source) = source else { return };
--- a/crates/jasminecart-core/src/version/adoption/sources.rs
+++ b/crates/jasminecart-core/src/version/adoption/sources.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::names::VmId;
+use super::refused::Refused;
+use crate::names::{Incarnation, VmId};
 use crate::process::{MemberState, Members, rendezvous};
 use crate::time::Millis;
 use crate::version::document::Revision;
@@ -18,7 +19,8 @@
     staying: Vec<VmId>,
     /// The same VMs by their rank for watching the platform.
     ranked: Vec<VmId>,
-    revisions: BTreeMap<VmId, Revision>,
+    /// The reported revisions, with the process that reported them as far as it is known.
+    revisions: BTreeMap<VmId, (Incarnation, Revision)>,
 }
 
 impl Sources {
@@ -50,19 +52,27 @@
             members.peers().chain(remote.clone()).map(|member| &member.vm).collect();
         self.revisions.retain(|vm, _| known.contains(vm));
         for member in members.peers().chain(remote) {
-            self.note(&member.vm, member.revision);
+            self.note(&member.vm, member.incarnation, member.revision);
         }
     }
 
-    /// Notes a revision that a VM has reported.
-    pub(super) fn note(&mut self, vm: &VmId, revision: Revision) {
-        if *vm == self.me || revision == Revision(0) {
-            return;
-        }
-        if let Some(known) = self.revisions.get_mut(vm) {
-            *known = revision.max(*known);
-        } else if self.revisions.len() < MAX_SOURCES {
-            self.revisions.insert(vm.clone(), revision);
+    /// Notes what the member list tells of a VM. A new process may have less than the previous one.
+    fn note(&mut self, vm: &VmId, incarnation: Incarnation, revision: Revision) {
+        let known = self.revisions.get(vm).filter(|(process, _)| *process >= incarnation);
+        let known = known.map(|(_, revision)| *revision).unwrap_or_default();
+        self.insert(vm, incarnation, revision.max(known));
+    }
+
+    /// Notes what a VM itself reported.
+    pub(super) fn set(&mut self, vm: &VmId, revision: Revision) {
+        let incarnation = self.revisions.get(vm).map(|(incarnation, _)| *incarnation);
+        self.insert(vm, incarnation.unwrap_or_default(), revision);
+    }
+
+    fn insert(&mut self, vm: &VmId, incarnation: Incarnation, revision: Revision) {
+        let known = self.revisions.contains_key(vm);
+        if *vm != self.me && (known || self.revisions.len() < MAX_SOURCES) {
+            self.revisions.insert(vm.clone(), (incarnation, revision));
         }
     }
 
@@ -71,13 +81,18 @@
         self.revisions.remove(vm);
     }
 
-    /// Returns the highest revision above `seen` and the VMs that have it, those of this data centre if any.
-    pub(super) fn newer(&self, seen: Revision) -> Option<(Revision, Vec<&VmId>)> {
-        let highest = self.revisions.values().copied().max().filter(|highest| *highest > seen)?;
-        let (local, remote): (Vec<&VmId>, Vec<&VmId>) = self
-            .revisions
-            .iter()
-            .filter(|(_, revision)| **revision == highest)
+    /// Returns the highest revision above the one in force that was not refused, and the VMs that have it,
+    /// those of this data centre if any.
+    pub(super) fn newer(
+        &self,
+        in_force: Revision,
+        refused: &Refused,
+    ) -> Option<(Revision, Vec<&VmId>)> {
+        let useful = |revision: &Revision| *revision > in_force && !refused.contains(*revision);
+        let revisions = self.revisions.iter().map(|(vm, (_, revision))| (vm, *revision));
+        let highest = revisions.clone().map(|(_, revision)| revision).filter(useful).max()?;
+        let (local, remote): (Vec<&VmId>, Vec<&VmId>) = revisions
+            .filter(|(_, revision)| *revision == highest)
             .map(|(vm, _)| vm)
             .partition(|vm| vm.data_centre == self.me.data_centre);
         Some((highest, if local.is_empty() { remote } else { local }))
--- a/crates/jasminecart-core/tests/adoption.rs
+++ b/crates/jasminecart-core/tests/adoption.rs
@@ -6,11 +6,12 @@
 use std::sync::Arc;
 
 use jasminecart_core::invariant;
+use jasminecart_core::process::Members;
 use jasminecart_core::version::{
     AdoptionAlert, Digest, Document, DocumentMessage, Part, Piece, PlatformReply, Revision, Stamp,
     Step,
 };
-use jasminecart_core::{Millis, Name, PeerMessage};
+use jasminecart_core::{Incarnation, Millis, Name, PeerMessage};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -94,6 +95,39 @@
     assert!(matches!(watch, Some(Step::Watch { after: Revision(2) })), "{steps:?}");
 }
 
+// Guards against a VM that skips a valid revision for ever, because it saw a later invalid one first.
+#[test]
+fn a_revision_below_a_refused_one_is_still_adopted() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(1));
+    let broken = PlatformReply::Document { revision: Revision(5), text: Arc::from("[what]") };
+    adoption.on_platform(Millis(1_020), broken);
+    let document = Document::parse(Revision(4), &text(4)).unwrap();
+    give(&mut adoption, Millis(2_000), &document);
+    assert_eq!(adoption.current().unwrap().revision(), Revision(4));
+}
+
+// Guards against requests to a peer for a revision that only its previous process had.
+#[test]
+fn a_restarted_peer_is_not_asked_for_what_it_lost() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(1));
+    adoption.set_members(Millis(2_000), &members(0, 0..2, 9));
+    let have = DocumentMessage::Have { revision: Revision(1), digest: Digest::of(&*text(1)) };
+    adoption.on_message(Millis(2_010), &vm(1), have);
+    let mut restarted = members(0, 0..2, 1).list.to_vec();
+    restarted[1].incarnation = Incarnation(2);
+    let mut steps = adoption.set_members(Millis(2_020), &Members::new(vm(0), restarted));
+    for tick in 0..100 {
+        steps.extend(adoption.tick(Millis(2_050 + tick * 50)));
+    }
+    let fetches =
+        messages(&steps).into_iter().filter(|m| matches!(m, DocumentMessage::Fetch { .. }));
+    assert_eq!(fetches.count(), 0);
+}
+
 // Guards against a platform restored from an old state that rolls the data centre back unnoticed.
 #[test]
 fn a_platform_that_goes_back_is_reported_once_and_asked_less_often() {
