Measure slopes and extrapolate them to the two-year target

Cause: docs/CAPACITY.md needs figures that a command prints.

The live heap is counted by `peak_alloc`.

--- a/crates/jasminecart-bench/src/bin/measure.rs
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -1,11 +1,13 @@
 //! Measurements of the decision modules. The last line printed is one JSON object with the figures.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use jasminecart_bench::report::Report;
 use jasminecart_bench::{capacity, documents, faults, flows, membership, packets, requests};
 use jasminecart_core::invariant;
+use peak_alloc::PeakAlloc;
 
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -28,7 +30,7 @@
     Faults(#[bpaf(external(faults_options))] FaultsOptions),
     /// Slopes for docs/CAPACITY.md
     #[bpaf(command)]
-    Capacity(#[bpaf(external(common))] Common),
+    Capacity(#[bpaf(external(capacity_options))] CapacityOptions),
     /// Packets per second of the packet path on one core, next to a plain forwarder
     #[bpaf(command)]
     Packets(#[bpaf(external(common))] Common),
@@ -51,6 +53,20 @@
     steps: u64,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+struct CapacityOptions {
+    /// Seed of the run
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Folder for a plot of each slope
+    #[bpaf(argument("FOLDER"))]
+    plots: Option<PathBuf>,
+}
+
+/// Counts the live heap for the slopes of the case `capacity`.
+#[global_allocator]
+static HEAP: PeakAlloc = PeakAlloc;
+
 fn main() -> ExitCode {
     let report = run(case().run());
     for line in &report.table {
@@ -71,7 +87,7 @@
         Case::Documents(common) => documents::run(common.seed),
         Case::Membership(common) => membership::run(common.seed),
         Case::Faults(options) => faults::run(options.seed, options.steps),
-        Case::Capacity(common) => capacity::run(common.seed),
+        Case::Capacity(options) => capacity::run(options.seed, options.plots.as_deref()),
         Case::Packets(common) => packets::run(common.seed),
     }
 }
--- a/crates/jasminecart-bench/src/documents.rs
+++ b/crates/jasminecart-bench/src/documents.rs
@@ -25,6 +25,8 @@
 const GIVE_UP: Millis = Millis::from_secs(60);
 const OUTAGE: Millis = Millis::from_secs(40);
 const LAG: Millis = Millis::from_secs(120);
+/// The simulated time over which idle VMs are measured.
+const IDLE_SPAN: Millis = Millis::from_secs(30);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Size {
@@ -487,3 +489,51 @@
     let failed = !rows.iter().all(Row::holds);
     Report::new(table, json!({ "seed": seed, "rows": figures })).with_failed(failed)
 }
+
+/// What membership and adoption cost a VM while nothing changes.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleUse {
+    /// Control bytes sent a second.
+    pub bytes_per_s: f64,
+    /// Processor time as a share of a core. It includes the share of the simulated network.
+    pub cpu_percent: f64,
+    /// Heap of membership, adoption and the document.
+    pub heap_kib: f64,
+}
+
+/// Measures what membership and adoption cost each of a number of VMs while nothing changes.
+pub fn idle(vms: usize, seed: u64) -> IdleUse {
+    let heap = peak_alloc::PeakAlloc;
+    let before = heap.current_usage();
+    let mut run = Run::new(vms, Size::Today, seed);
+    let heap_kib = heap.current_usage().saturating_sub(before) as f64 / 1_024.0 / vms as f64;
+    run.queue.bytes.fill(0);
+    let (start, started) = (run.now, std::time::Instant::now());
+    run.until(start + IDLE_SPAN);
+    let cpu = started.elapsed().as_secs_f64() / IDLE_SPAN.as_secs_f64() / vms as f64;
+    let bytes = run.queue.bytes.iter().sum::<u64>() as f64 / vms as f64;
+    IdleUse { bytes_per_s: bytes / IDLE_SPAN.as_secs_f64(), cpu_percent: cpu * 100.0, heap_kib }
+}
+
+/// What a change of a 1 MB document costs.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeUse {
+    /// The longest time until a revision was in force on every VM, with some VMs cut off or not.
+    pub in_force_ms: f64,
+    /// Reads of the platform a second by all VMs of the data centre.
+    pub reads_per_s: f64,
+    /// Control bytes a VM sends for a change.
+    pub bytes_per_change: f64,
+}
+
+/// Measures the adoption of small changes to a 1 MB document.
+pub fn adoption_at(vms: usize, seed: u64) -> ChangeUse {
+    let row = measure(vms, Size::Large, 4, seed);
+    let spans = row.spans.iter().copied().chain([row.cut_off, row.after_back]);
+    let worst = spans.map(|span| span.map_or(f64::INFINITY, |span| span as f64));
+    ChangeUse {
+        in_force_ms: worst.fold(0.0, f64::max),
+        reads_per_s: row.reads_per_s,
+        bytes_per_change: row.bytes_per_change as f64,
+    }
+}
