Keep the order of messages to the control actor

The mailbox of xtra is a heap that does not keep the order of waiting messages of equal priority, so the end of a request could be handled before its submission. Also, a client that had all bytes of an answer could close its connection, or repeat its request, before the answer was recorded.

Conclusion: a planned stop is not held up by requests that have ended.

--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -17,11 +17,11 @@
 use xtra::{Context, Handler};
 
 use super::peers::Peers;
-use super::status::{Counts, DocumentStatus, MemberStatus, MembersByState, Status};
+use super::status::{Counts, DocumentStatus, Left, MemberStatus, MembersByState, Status};
 use super::{
     AttemptEnded, CancelRequest, Directive, Documents, ExplainService, FromPeer, FromPlatform,
-    GetCounts, GetStatus, IsDrained, IssueKey, Leave, RequestEnded, Start, Submit, Tick, ToPeer,
-    VmList,
+    GetCounts, GetStatus, IssueKey, Leave, RequestEnded, Start, Submit, Tick, ToPeer, VmList,
+    WhatIsLeft,
 };
 use crate::clock::Clock;
 use crate::metrics::{Metrics, count};
@@ -450,17 +450,22 @@
     }
 }
 
-impl Handler<IsDrained> for ControlActor {
-    type Return = bool;
+impl Handler<WhatIsLeft> for ControlActor {
+    type Return = Option<Left>;
 
-    async fn handle(&mut self, _: IsDrained, _cx: &mut Context<Self>) -> bool {
+    async fn handle(&mut self, _: WhatIsLeft, _cx: &mut Context<Self>) -> Option<Left> {
         if let Some(drained) = &mut self.packets_drained {
             match drained.try_recv() {
-                Err(oneshot::error::TryRecvError::Empty) => return false,
+                Err(oneshot::error::TryRecvError::Empty) => return Some(Left::Packets),
                 Ok(()) | Err(oneshot::error::TryRecvError::Closed) => self.packets_drained = None,
             }
         }
-        self.requests.is_empty() && self.parts.dispatcher.is_drained() && self.peers.is_idle()
+        match () {
+            () if !self.requests.is_empty() => Some(Left::Requests),
+            () if !self.parts.dispatcher.is_drained() => Some(Left::Dispatch),
+            () if !self.peers.is_idle() => Some(Left::Messages),
+            () => None,
+        }
     }
 }
 
--- a/crates/jasminecart-entry/src/control/mod.rs
+++ b/crates/jasminecart-entry/src/control/mod.rs
@@ -22,12 +22,15 @@
 use xtra::{Address, Mailbox};
 
 pub(crate) use self::actor::{ControlActor, ControlParts, longest_deadline};
-pub(crate) use self::status::{Counts, Status};
+pub(crate) use self::status::{Counts, Left, Status};
 use crate::tasks::Tasks;
 
 /// The most messages that wait for the actor. Senders wait when it is full.
 const MAILBOX: usize = 4_096;
 
+/// Ticks go before other messages, because a busy mailbox does not serve its messages in order.
+const TICK_PRIORITY: u32 = 1;
+
 /// What a request has to do.
 #[derive(Clone, Debug)]
 pub(crate) enum Directive {
@@ -90,7 +93,7 @@
 pub(crate) struct Leave;
 
 #[derive(Debug)]
-pub(crate) struct IsDrained;
+pub(crate) struct WhatIsLeft;
 
 #[derive(Debug)]
 pub(crate) struct GetStatus;
@@ -102,6 +105,10 @@
 pub(crate) struct ExplainService(pub(crate) Name);
 
 /// The address of the control actor. Calls return `None` or `false` after the process was killed.
+///
+/// Every call waits until the actor has handled the message. The mailbox is a heap that does not keep the
+/// order of waiting messages of equal priority, so a sender that does not wait can be overtaken by its own
+/// next message: the end of a request was handled before its submission, and the request stayed for ever.
 #[derive(Clone)]
 pub(crate) struct Control(Address<ControlActor>);
 
@@ -128,19 +135,19 @@
         forwarded: bool,
         directives: mpsc::UnboundedSender<Directive>,
     ) -> bool {
-        self.0.send(Submit { meta, forwarded, directives }).detach().await.is_ok()
+        self.0.send(Submit { meta, forwarded, directives }).await.is_ok()
     }
 
     pub(crate) async fn attempt_ended(&self, attempt: AttemptId, outcome: Outcome) {
-        let _ = self.0.send(AttemptEnded { attempt, outcome }).detach().await;
+        let _ = self.0.send(AttemptEnded { attempt, outcome }).await;
     }
 
     pub(crate) async fn cancel(&self, request: RequestId) {
-        let _ = self.0.send(CancelRequest(request)).detach().await;
+        let _ = self.0.send(CancelRequest(request)).await;
     }
 
     pub(crate) async fn request_ended(&self, request: RequestId) {
-        let _ = self.0.send(RequestEnded(request)).detach().await;
+        let _ = self.0.send(RequestEnded(request)).await;
     }
 
     pub(crate) async fn issue_key(&self) -> Option<IssuedKey> {
@@ -148,19 +155,19 @@
     }
 
     pub(crate) async fn deliver(&self, delivered: Delivered) -> bool {
-        self.0.send(FromPeer(delivered)).detach().await.is_ok()
+        self.0.send(FromPeer(delivered)).await.is_ok()
     }
 
     pub(crate) async fn to_peer(&self, outgoing: Outgoing) -> bool {
-        self.0.send(ToPeer(outgoing)).detach().await.is_ok()
+        self.0.send(ToPeer(outgoing)).await.is_ok()
     }
 
     pub(crate) async fn platform_reply(&self, reply: PlatformReply) {
-        let _ = self.0.send(FromPlatform(reply)).detach().await;
+        let _ = self.0.send(FromPlatform(reply)).await;
     }
 
     pub(crate) async fn vm_list(&self, list: Vec<VmHint>) {
-        let _ = self.0.send(VmList(list)).detach().await;
+        let _ = self.0.send(VmList(list)).await;
     }
 
     pub(crate) async fn start(&self) {
@@ -169,16 +176,16 @@
 
     /// Waits until the tick was handled, so that ticks do not pile up behind a busy actor.
     pub(crate) async fn tick(&self) -> bool {
-        self.0.send(Tick).await.is_ok()
+        self.0.send(Tick).priority(TICK_PRIORITY).await.is_ok()
     }
 
     pub(crate) async fn leave(&self) {
         let _ = self.0.send(Leave).await;
     }
 
-    /// Tells whether nothing is left to do before the process may end.
-    pub(crate) async fn is_drained(&self) -> bool {
-        self.0.send(IsDrained).await.unwrap_or(true)
+    /// Tells what is left to do before the process may end.
+    pub(crate) async fn what_is_left(&self) -> Option<Left> {
+        self.0.send(WhatIsLeft).await.ok().flatten()
     }
 
     pub(crate) async fn status(&self) -> Option<Status> {
--- a/crates/jasminecart-entry/src/control/status.rs
+++ b/crates/jasminecart-entry/src/control/status.rs
@@ -41,6 +41,19 @@
     pub(crate) silent_ms: u64,
 }
 
+/// What a planned stop still waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Left {
+    /// The packet task hands over flows.
+    Packets,
+    /// Requests are in progress.
+    Requests,
+    /// The dispatcher hands over key records or waits for attempts.
+    Dispatch,
+    /// Messages to peers are not acknowledged.
+    Messages,
+}
+
 /// The counts of the facades and what else is exported as a metric.
 #[derive(Clone, Debug)]
 pub(crate) struct Counts {
--- a/crates/jasminecart-entry/src/entry.rs
+++ b/crates/jasminecart-entry/src/entry.rs
@@ -285,6 +285,10 @@
         let bound = self.stop_bound();
         let drained = tokio::time::timeout(bound, self.drain(started)).await.is_ok();
         let cut_off = u64::try_from(self.requests.in_progress()).unwrap_or(0);
+        if !drained {
+            let left = format!("{:?}", self.control.what_is_left().await);
+            log::warn!(event = "stop_not_drained", vm = vm.as_str(), left = left.as_str(), cut_off = cut_off; "the bound of the planned stop passed before everything was finished");
+        }
         self.requests.finish();
         // A slow client may still receive the end of an answer that is complete on this side.
         let left = bound.saturating_sub(started.elapsed()).max(CLOSE_WITHIN);
@@ -313,7 +317,8 @@
     async fn drain(&self, started: tokio::time::Instant) {
         loop {
             tokio::time::sleep(DRAIN_PERIOD).await;
-            let idle = self.requests.in_progress() == 0 && self.control.is_drained().await;
+            let idle =
+                self.requests.in_progress() == 0 && self.control.what_is_left().await.is_none();
             if idle && started.elapsed() >= LEAVE_AT_LEAST {
                 return;
             }
--- a/crates/jasminecart-entry/src/request/listener.rs
+++ b/crates/jasminecart-entry/src/request/listener.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use jasminecart_core::request::{AttemptId, Outcome, RefusalReason, RequestId, RunState};
+use jasminecart_core::request::{AttemptId, Outcome, RequestId, RunState};
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::Document;
 use socket2::{SockRef, TcpKeepalive};
@@ -222,14 +222,7 @@
         Err(e) => return refuse(&cx, &e),
     };
     let (reply, head) = oneshot::channel();
-    let (directives, inbox) = mpsc::unbounded_channel::<Directive>();
-    if !cx.control.submit(prepared.admitted.meta.clone(), prepared.hops > 0, directives).await {
-        let refusal = jasminecart_core::request::Refusal {
-            state: RunState::NotRun,
-            reason: RefusalReason::NotReady,
-        };
-        return reply::refusal(refusal);
-    }
+    let (sender, directives) = mpsc::unbounded_channel::<Directive>();
     let run = Run {
         cx: cx.clone(),
         admitted: prepared.admitted,
@@ -237,11 +230,13 @@
         hops: prepared.hops,
         arrived,
         reply: Reply(Some(reply)),
-        directives: inbox,
+        directives,
         attempts: Attempts::default(),
     };
+    // The request is submitted by its own task, because hyper drops this future when the client goes away,
+    // and a submitted request without a task would stay with the control actor for ever.
     cx.tasks.spawn(async move {
-        run.run().await;
+        run.run(sender).await;
         drop((permit, guard));
     });
     head.await.unwrap_or_else(|_| {
--- a/crates/jasminecart-entry/src/request/run.rs
+++ b/crates/jasminecart-entry/src/request/run.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use jasminecart_core::invariant;
 use jasminecart_core::names::{Name, VmId};
 use jasminecart_core::request::{
@@ -113,15 +114,20 @@
 }
 
 enum PumpEnd {
-    Complete,
+    /// The answer is complete. Its last part is held back when its length was declared.
+    Complete(Option<Frame<Bytes>>),
     Broken(FailureCause),
     ClientGone,
 }
 
 impl Run {
     /// Runs the request to its end.
-    pub(crate) async fn run(mut self) {
-        let ending = self.drive().await;
+    pub(crate) async fn run(mut self, sender: mpsc::UnboundedSender<Directive>) {
+        let meta = self.admitted.meta.clone();
+        let ending = match self.cx.control.submit(meta, self.hops > 0, sender).await {
+            true => self.drive().await,
+            false => self.refuse(RunState::NotRun, RefusalReason::NotReady),
+        };
         let labels = RequestLabels::new(&self.admitted.meta.tenant, &self.admitted.meta.class);
         let span = self.cx.clock.now().since(self.arrived);
         self.cx.metrics.observe_end(&labels, span, ending);
@@ -394,21 +400,20 @@
     ) -> Ending {
         let http2 = lease.version() == Version::Http2;
         match self.pump(id, (&mut body, http2), &mut copy, &tx).await {
-            PumpEnd::Complete => {
+            PumpEnd::Complete(last) => {
                 self.complete(id, lease, stored, copy).await;
                 let left = self.admitted.meta.deadline.since(self.cx.clock.now());
                 // A client that does not read the end before the deadline sees a broken answer.
-                match tokio::time::timeout(left.into(), tx.send(Part::End)).await {
-                    Ok(Ok(())) => Ending::Done,
-                    Ok(Err(_)) => Ending::Cancelled,
-                    Err(_) => Ending::Broken,
-                }
+                let sent = tokio::time::timeout(left.into(), send_end(last, &tx)).await;
+                sent.unwrap_or(Ending::Broken)
             }
             end => self.broken(id, lease, end).await,
         }
     }
 
-    /// Moves the body until its end. Waiting for a slow client holds the target's bytes back.
+    /// Moves the body until its end. Waiting for a slow client holds the target's bytes back. The last part
+    /// of an answer with a declared length is held back until the end of the body is confirmed: a client that
+    /// has all bytes may close its connection or repeat its request before the answer is recorded.
     async fn pump(
         &mut self,
         id: Option<AttemptId>,
@@ -420,6 +425,8 @@
         let overdue = tokio::time::sleep(left.into());
         tokio::pin!(overdue);
         let progress_within = self.admitted.service.progress_timeout;
+        let mut missing = body.size_hint().exact();
+        let mut held = None;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -434,14 +441,24 @@
                 }
             };
             let frame = match frame {
-                None if is_complete(body, http2) => return PumpEnd::Complete,
+                None if is_complete(body, http2) => return PumpEnd::Complete(held),
                 None | Some(Err(_)) => return PumpEnd::Broken(FailureCause::Broken),
                 Some(Ok(frame)) => frame,
             };
             match frame.data_ref() {
-                Some(data) => copy.add(data),
+                Some(data) => {
+                    copy.add(data);
+                    missing = missing.map(|missing| missing.saturating_sub(data.len() as u64));
+                }
                 None => copy.discard(),
             }
+            let frame = match missing {
+                Some(0) => match held.replace(frame) {
+                    Some(frame) => frame,
+                    None => continue,
+                },
+                _ => frame,
+            };
             tokio::select! {
                 biased;
                 sent = tx.send(Part::Frame(frame)) => {
@@ -486,7 +503,7 @@
     async fn broken(&mut self, id: Option<AttemptId>, mut lease: Lease, end: PumpEnd) -> Ending {
         let cause = match end {
             PumpEnd::Broken(cause) => cause,
-            PumpEnd::Complete | PumpEnd::ClientGone => FailureCause::Broken,
+            PumpEnd::Complete(_) | PumpEnd::ClientGone => FailureCause::Broken,
         };
         match cause {
             FailureCause::Silent => lease.abandon_silent(),
@@ -522,6 +539,18 @@
     }
 }
 
+/// Sends the last part and the end of an answer. A client that closes its connection after the last part has
+/// received everything.
+async fn send_end(last: Option<Frame<Bytes>>, tx: &mpsc::Sender<Part>) -> Ending {
+    if let Some(last) = last {
+        if tx.send(Part::Frame(last)).await.is_err() {
+            return Ending::Cancelled;
+        }
+    }
+    let _ = tx.send(Part::End).await;
+    Ending::Done
+}
+
 /// Returns when the dispatcher ends the answering attempt. Attempts that it starts meanwhile, such as a
 /// hedge, are not started, because the client already receives an answer.
 async fn ended_by(
--- a/crates/jasminecart-entry/tests/lifecycle.rs
+++ b/crates/jasminecart-entry/tests/lifecycle.rs
@@ -214,3 +214,33 @@
     assert_eq!((json["revision"].as_u64(), json["ready"].as_bool()), (Some(7), Some(true)));
     assert_eq!(json["text"], "a \"quoted\"\ntext");
 }
+
+// Guards against messages of one request that overtake each other on their way to the control actor: its
+// mailbox does not keep the order of messages that wait, and a request whose end overtook its submission
+// stayed for ever. The clients go away at once, so that the messages of a request follow each other closely.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_busy_vm_keeps_no_finished_requests() {
+    let target = Target::start(&[Script::Send(HELLO)]).await;
+    let platform = Platform::start(1, &document("", &[target.address])).await;
+    let entry = entry("vm-1", &platform, "").await;
+    let address = entry.addresses().requests;
+    let client = |n: usize| async move {
+        for _ in 0..50 {
+            let path = format!("/{}", "x".repeat(n));
+            let head =
+                format!("POST {path} HTTP/1.1\r\nhost: claims.test\r\ncontent-length: 0\r\n\r\n");
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            let _ = tokio::io::AsyncWriteExt::write_all(&mut stream, head.as_bytes()).await;
+        }
+    };
+    let clients: Vec<_> = (0..64).map(|n| tokio::spawn(client(n))).collect();
+    for client in clients {
+        client.await.unwrap();
+    }
+    let operators = entry.addresses().operators;
+    eventually("no request is left", || async {
+        get(operators, "/status").await.1.contains("\"requests_in_progress\":0")
+    })
+    .await;
+    assert!(entry.stop().await.drained);
+}
