--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -211,14 +211,6 @@
         }
     }
 
-    /// Turns an entry into a hint that has to be confirmed before it is used.
-    pub(super) fn demote(&mut self, now: Millis, flow: u64) {
-        self.set_state(now, flow, State::Hint);
-        if let Some(entry) = self.entries.get_mut(&flow) {
-            entry.opened = 0;
-        }
-    }
-
     /// Sets when the flow was opened, for an entry that comes from another owner.
     pub(super) fn set_opened(&mut self, flow: u64, opened: Millis) {
         if let Some(entry) = self.entries.get_mut(&flow) {
--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -128,10 +128,12 @@
         let previous = std::mem::replace(&mut self.owners, owners);
         if previous.eligible_hash() != self.owners.eligible_hash() {
             self.owners_since = now;
+            // The new owners do not know of hints that former ones gave.
+            self.flows.retain(|_, entry| entry.state != State::Hint);
         }
         if previous.epoch() != self.owners.epoch() {
             self.queue_entries(&previous);
-            self.demoted = false;
+            self.foreign_dropped = false;
         }
         let owners = &self.owners;
         let is_here = |vm: &VmId| owners.peers().any(|peer| peer.vm == *vm);
@@ -161,8 +163,8 @@
             self.done_to.insert(vm.clone(), epoch);
             self.send(&vm, FlowMessage::TransferDone { epoch });
         }
-        if !self.demoted && self.is_complete(now) && self.transfers.len() == 0 {
-            self.demote_entries(now);
+        if !self.foreign_dropped && self.is_complete(now) && self.transfers.len() == 0 {
+            self.drop_foreign_entries();
         }
     }
 
@@ -265,8 +267,10 @@
                 // An entry from before a pause may be outdated: other VMs were owners meanwhile.
                 let keep = self.flows.get(now, flow).is_some_and(|own| {
                     let later = own.opened() + AGE_ERROR >= opened;
+                    let opens = own.state == State::HalfOpen && own.target == group.target;
                     own.state != State::Hint
                         && later
+                        && !opens
                         && backlog.is_none_or(|end| own.opened() >= end)
                 });
                 let Some(state) = decode(entry.state).filter(|_| !keep) else { continue };
@@ -317,17 +321,14 @@
         }
     }
 
-    /// Turns entries that this VM no longer owns into hints.
-    fn demote_entries(&mut self, now: Millis) {
-        let me = self.owners.me();
-        let foreign = self.flows.iter().filter(|(flow, entry)| {
-            entry.state != State::Hint && !self.owners.future(*flow).contains(&me)
+    /// Drops the entries that this VM no longer owns, once the owners have them. A later flow of the same
+    /// addresses would not be noticed here.
+    fn drop_foreign_entries(&mut self) {
+        let owners = &self.owners;
+        self.flows.retain(|flow, entry| {
+            entry.state == State::Hint || owners.future(flow).contains(&owners.me())
         });
-        let flows: Vec<u64> = foreign.map(|(flow, _)| flow).collect();
-        for flow in flows {
-            self.flows.demote(now, flow);
-        }
-        self.demoted = true;
+        self.foreign_dropped = true;
     }
 }
 
--- a/crates/jasminecart-core/src/flow/router.rs
+++ b/crates/jasminecart-core/src/flow/router.rs
@@ -71,7 +71,8 @@
     pub(super) done_to: BTreeMap<VmId, u64>,
     /// Whether all peers handed over their entries for the present owners.
     pub(super) all_done: bool,
-    pub(super) demoted: bool,
+    /// Whether entries that other VMs own were dropped since the owners changed.
+    pub(super) foreign_dropped: bool,
     pub(super) owners_since: Millis,
     /// Whether this VM knows the generations that its peers know.
     pub(super) synced: bool,
@@ -110,7 +111,7 @@
             done_from: BTreeMap::new(),
             done_to: BTreeMap::new(),
             all_done: true,
-            demoted: true,
+            foreign_dropped: true,
             owners_since: Millis::ZERO,
             synced: false,
             synced_to: Revision(0),
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -179,6 +179,9 @@
             // After a pause this VM may not know that a target is draining, nor what others decided.
             let hands_over = !cx.trusted && !known && cx.rank[0] == self.owners.me();
             if hands_over && cx.may_pass() && self.is_answering(second) {
+                if self.known(now, cx).is_some_and(|own| own.hinted || own.state == State::Hint) {
+                    self.forget(now, cx.flow);
+                }
                 self.flows.remove(cx.flow);
                 // The decision takes one more hop and comes back on another, if there is one left.
                 let record = cx.header.hops + 2 <= MAX_HOPS;
@@ -186,6 +189,10 @@
             }
             return self.decide(now, cx);
         }
+        // The owner may decide otherwise than for an earlier flow of the same addresses.
+        if self.known(now, cx).is_some_and(|own| own.state == State::Hint || !self.is_owner(cx)) {
+            self.flows.remove(cx.flow);
+        }
         Verdict::Pass { to: cx.rank[0], target: 0, record: false }
     }
 
@@ -198,14 +205,15 @@
         // Hints for an earlier flow of the same addresses stay true if its target is kept.
         let kept = known.filter(|entry| {
             let slot = self.slot(cx, entry.target);
-            entry.hinted && slot.is_some_and(|slot| !slot.target.draining)
+            let hinted = entry.hinted || entry.state == State::Hint;
+            hinted && slot.is_some_and(|slot| !slot.target.draining)
         });
         let current =
             self.table(cx).and_then(|table| table.current(cx.bucket)).map(|slot| slot.key);
         let Some(target) = kept.map(|entry| entry.target).or(current) else {
             return Verdict::Drop(DropReason::NoTarget);
         };
-        if kept.is_none() && known.is_some_and(|entry| entry.hinted) {
+        if kept.is_none() && known.is_some_and(|own| own.hinted || own.state == State::Hint) {
             self.forget(now, cx.flow);
         }
         self.counters.decided += 1;
@@ -220,13 +228,16 @@
             self.counters.unrecorded += 1;
             return Verdict::Base;
         }
-        if self.flows.insert(now, cx.flow, target, State::HalfOpen).is_err() {
+        // Where a hint is held, the packets after the SYN do not come here.
+        let state = if hinted { State::Established } else { State::HalfOpen };
+        if self.flows.insert(now, cx.flow, target, state).is_err() {
             let Some((_, false)) = base else { return Verdict::Drop(DropReason::TableFull) };
             self.counters.unrecorded += 1;
             return Verdict::Base;
         }
-        if let Some(entry) = self.flows.touch(now, cx.flow) {
-            entry.hinted = hinted;
+        if hinted {
+            self.flows.set_hinted(cx.flow);
+            self.repair_owners(cx);
         }
         self.pass_to_second(cx, target)
     }
@@ -347,10 +358,8 @@
         }
         if closes {
             self.flows.set_state(now, cx.flow, State::Closing);
-            let draining = self.slot(cx, target).is_some_and(|slot| slot.target.draining);
-            // The next flow of the same addresses goes elsewhere.
-            if draining && entry.hinted && first {
-                self.forget(now, cx.flow);
+            if entry.hinted && first {
+                self.forget_draining(now, cx, target);
             }
         }
         let opens = entry.state == State::HalfOpen && !self.needs_no_entry(cx, target);
@@ -389,6 +398,9 @@
         let ask = (unsure || closes) && cx.may_pass() && self.is_answering(next);
         if closes && !first {
             self.flows.remove(cx.flow);
+        } else if closes {
+            self.flows.set_hinted(cx.flow);
+            self.forget_draining(now, cx, target);
         } else if ask && stale {
             self.flows.renew(now, cx.flow);
         }
@@ -628,6 +640,14 @@
         }
     }
 
+    /// Revokes the hints for a flow that closes on a draining target, because the next flow of the same
+    /// addresses goes elsewhere.
+    fn forget_draining(&mut self, now: Millis, cx: &Context, target: u64) {
+        if self.slot(cx, target).is_some_and(|slot| slot.target.draining) {
+            self.forget(now, cx.flow);
+        }
+    }
+
     /// Revokes the hint of the VM that received the packet from the fabric.
     fn revoke(&mut self, cx: &Context) {
         let Some(vm) = self.owners.get(cx.header.entry).map(|peer| peer.vm.clone()) else { return };
