--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -68,6 +68,8 @@
     pub(super) state: State,
     /// Whether a packet after the SYN was seen.
     pub(super) answered: bool,
+    /// Whether the entry came from another owner.
+    pub(super) transferred: bool,
     /// Whether other VMs may hold hints.
     pub(super) hinted: bool,
     /// Whether a hint was renewed, which holds unless the owner revokes it.
@@ -187,6 +189,7 @@
             last: stamp,
             state,
             answered: false,
+            transferred: false,
             hinted: false,
             is_asking: false,
             forwards: 0,
@@ -211,9 +214,10 @@
         }
     }
 
-    /// Sets when the flow was opened, for an entry that comes from another owner.
-    pub(super) fn set_opened(&mut self, flow: u64, opened: Millis) {
+    /// Notes that an entry came from another owner, and when its flow was opened.
+    pub(super) fn set_transferred(&mut self, flow: u64, opened: Millis) {
         if let Some(entry) = self.entries.get_mut(&flow) {
+            entry.transferred = true;
             entry.opened = steps(opened);
         }
     }
--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -275,7 +275,7 @@
                 });
                 let Some(state) = decode(entry.state).filter(|_| !keep) else { continue };
                 if self.flows.insert(now, flow, group.target, state).is_ok() {
-                    self.flows.set_opened(flow, opened);
+                    self.flows.set_transferred(flow, opened);
                     if entry.state & HINTED != 0 {
                         self.flows.set_hinted(flow);
                     }
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -386,7 +386,8 @@
                 return ask_first;
             }
         }
-        if owner && entry.state != State::Closing && !closes {
+        // Only the first owner gives hints, because it has to know of them when the addresses are reused.
+        if first && entry.state != State::Closing && !closes {
             self.hint(now, cx, target);
         }
         if !first && !cx.unasked && cx.header.target == 0 {
@@ -582,10 +583,12 @@
         firsts.into_iter().find(|first| *first != 0 && *first != self.owners.me())
     }
 
-    /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one.
+    /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one
+    /// or have been until now.
     fn is_doubtful(&self, now: Millis, entry: &Entry) -> bool {
         let backlog = self.freshness.backlog_end();
-        backlog.is_some_and(|end| entry.opened() < end) && !self.is_complete(now)
+        let early = backlog.is_some_and(|end| entry.opened() < end);
+        (early || entry.transferred) && !self.is_complete(now)
     }
 
     /// Tells whether a VM is expected to answer.
