--- a/crates/jasminecart-bench/src/documents.rs
+++ b/crates/jasminecart-bench/src/documents.rs
@@ -373,7 +373,7 @@
     let outage_reads_per_s = (run.platform.reads - reads) as f64 / OUTAGE.as_secs_f64();
     run.platform.down = false;
     let outage = run.in_force(revision, run.now);
-    // The watchers see an old state and do not know it. VMs that stood in for them during the outage have
+    // The watchers see an old state and do not know it. Backup watchers of the outage have
     // stopped by then.
     run.until(run.now + Millis::from_secs(45));
     run.platform.lagging = run.watchers();
--- a/crates/jasminecart-bench/src/membership.rs
+++ b/crates/jasminecart-bench/src/membership.rs
@@ -173,6 +173,12 @@
         self.fresh.1 += 1;
     }
 
+    /// Returns the share of samples since the last call in which a VM was fresh.
+    fn fresh_percent(&mut self) -> f64 {
+        let (fresh, samples) = std::mem::take(&mut self.fresh);
+        fresh as f64 * 100.0 / samples.max(1) as f64
+    }
+
     fn members(&self, number: usize) -> &Members {
         self.vms[number].membership.members()
     }
@@ -239,6 +245,7 @@
     restarted: u64,
     bytes_per_s: (u64, u64),
     fresh_percent: f64,
+    fresh_with_deaths: f64,
     false_positives: u64,
     with_pauses: u64,
 }
@@ -249,7 +256,7 @@
     run.until(WARM_UP);
     run.fresh = (0, 0);
     let bytes_per_s = run.steady_bytes();
-    let fresh_percent = run.fresh.0 as f64 * 100.0 / run.fresh.1.max(1) as f64;
+    let fresh_percent = run.fresh_percent();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (mut spans, mut restarts, mut missed) = (Vec::new(), Vec::new(), 0);
     // Different VMs are killed, because one that dies twice within a minute is held down.
@@ -263,6 +270,7 @@
         }
         restarts.push(run.restart(killed).unwrap_or(u64::MAX));
     }
+    let fresh_with_deaths = run.fresh_percent();
     let false_positives = run.false_positives;
     for _ in 0..PAUSES {
         run.pause(rng.random_range(0..size), Millis(rng.random_range(1_000..30_000)));
@@ -277,6 +285,7 @@
         restarted: restarts.into_iter().max().unwrap_or_default(),
         bytes_per_s,
         fresh_percent,
+        fresh_with_deaths,
         false_positives,
         with_pauses: run.false_positives - false_positives,
     }
@@ -302,6 +311,7 @@
             "control_bytes_per_s_mean": self.bytes_per_s.0,
             "control_bytes_per_s_worst": self.bytes_per_s.1,
             "fresh_percent": self.fresh_percent,
+            "fresh_percent_with_deaths": self.fresh_with_deaths,
             "false_positives": self.false_positives,
             "false_positives_with_pauses": self.with_pauses,
         })
@@ -309,7 +319,7 @@
 
     fn line(&self) -> String {
         format!(
-            "{:>7} {:>6.0} {:>10} {:>9} {:>7} {:>10} {:>9} {:>10} {:>7.2} {:>9} {:>12}",
+            "{:>7} {:>6.0} {:>10} {:>9} {:>7} {:>10} {:>9} {:>10} {:>7.2} {:>12.2} {:>9} {:>12}",
             self.size,
             self.loss * 100.0,
             self.detected.0,
@@ -319,6 +329,7 @@
             self.bytes_per_s.0,
             self.bytes_per_s.1,
             self.fresh_percent,
+            self.fresh_with_deaths,
             self.false_positives,
             self.with_pauses,
         )
@@ -401,7 +412,7 @@
 /// Runs the case.
 pub fn run(seed: u64) -> Report {
     let mut table = vec![
-        "members loss_% detect_med detect_ms  missed restart_ms B/s/VM_mean B/s_worst fresh_% \
+        "members loss_% detect_med detect_ms  missed restart_ms B/s/VM_mean B/s_worst fresh_% fresh_deaths \
          false_pos false_paused"
             .to_owned(),
     ];
--- a/crates/jasminecart-core/src/process/detect.rs
+++ b/crates/jasminecart-core/src/process/detect.rs
@@ -7,7 +7,7 @@
 
 use super::membership::Membership;
 use super::rendezvous;
-use super::table::Verdict;
+use super::table::Status;
 use super::wire::{Claim, Head, MemberMessage, Update};
 use crate::invariant;
 use crate::names::{Name, VmId};
@@ -19,9 +19,9 @@
 /// below the shortest suspicion, so that a true death is accepted.
 const HEARD_RECENTLY: Millis = Millis(2_000);
 
-/// How long a suspicion of others may outlast its span before this VM judges the member itself. Without
+/// How long a suspicion of others may outlast its span before this VM suspects the member itself. Without
 /// this, a VM that had missed the removal among 105 members at 20 % loss kept the suspect for 11 s.
-const ADOPT_AFTER: Millis = Millis(1_000);
+const TAKE_OVER_AFTER: Millis = Millis(1_000);
 
 #[derive(Debug)]
 struct Probe {
@@ -77,18 +77,18 @@
 }
 
 impl Membership {
-    /// Restarts all open judgements after a pause of this process.
+    /// Restarts all probes and suspicions after a pause of this process.
     pub(super) fn restart_detection(&mut self, now: Millis) {
         let suspicion = self.suspicion_span();
         self.detector.restart(now, suspicion, self.limits.suspicion_probe_period);
         for record in self.table.records.values_mut() {
-            if record.verdict == Verdict::Suspect {
+            if record.status == Status::Suspect {
                 record.since = now;
             }
         }
     }
 
-    /// Starts probes that are due and judges those that got no answer.
+    /// Starts probes that are due and evaluates those that got no answer.
     pub(super) fn detect(&mut self, now: Millis) {
         if now >= self.detector.next_probe {
             let next = self.detector.next_probe + self.limits.probe_period;
@@ -100,7 +100,7 @@
         }
         self.check_probes(now);
         self.check_suspicions(now);
-        self.adopt_suspicions(now);
+        self.take_over_suspicions(now);
         let timeout = self.limits.probe_timeout;
         self.detector.relayed.retain(|_, relayed| now.since(relayed.started) < timeout);
     }
@@ -115,7 +115,11 @@
         let me = &self.own.vm;
         let distance = (self.detector.slot % 3) as usize;
         if distance > 0 {
-            let others = self.table.live(&me.data_centre).map(|record| &record.member.vm);
+            // Suspects are probed apart. Without them in the ring, their neighbours hear from enough others to
+            // stay fresh.
+            let live = self.table.live(&me.data_centre);
+            let answering = live.filter(|record| record.status == Status::Alive);
+            let others = answering.map(|record| &record.member.vm);
             if let Some(vm) = rendezvous::successor(me, others, distance) {
                 return Some(vm.clone());
             }
@@ -182,7 +186,7 @@
         let live = self
             .table
             .live(&self.own.vm.data_centre)
-            .filter(|record| record.member.vm != *target && record.verdict == Verdict::Alive);
+            .filter(|record| record.member.vm != *target && record.status == Status::Alive);
         let mut helpers: Vec<VmId> = live.map(|record| record.member.vm.clone()).collect();
         let (chosen, _) = helpers.partial_shuffle(&mut self.rng, self.limits.relays);
         for helper in chosen {
@@ -223,7 +227,7 @@
             if !live || self.was_heard_since(&vm, started) {
                 self.detector.suspicions.remove(&vm);
             } else if now >= until {
-                self.judge(now, &vm, started);
+                self.remove_silent(now, &vm, started);
             } else if probe_due {
                 let seq = self.detector.next_seq();
                 self.probe_all_ways(seq, &vm);
@@ -234,7 +238,7 @@
     }
 
     /// Removes a silent member, unless this VM may be the one that is cut off.
-    fn judge(&mut self, now: Millis, vm: &VmId, started: Millis) {
+    fn remove_silent(&mut self, now: Millis, vm: &VmId, started: Millis) {
         let within = self.limits.contact_within;
         let in_contact = self.table.live(&self.own.vm.data_centre).any(|record| {
             record.member.vm != *vm
@@ -264,13 +268,13 @@
     }
 
     /// Takes over suspicions of others that neither ended in a removal nor were refuted.
-    fn adopt_suspicions(&mut self, now: Millis) {
-        let span = self.suspicion_span() + ADOPT_AFTER;
+    fn take_over_suspicions(&mut self, now: Millis) {
+        let span = self.suspicion_span() + TAKE_OVER_AFTER;
         let data_centre = self.own.vm.data_centre.clone();
         let open = self
             .table
             .live(&data_centre)
-            .filter(|record| record.verdict == Verdict::Suspect && now.since(record.since) >= span);
+            .filter(|record| record.status == Status::Suspect && now.since(record.since) >= span);
         for vm in open.map(|record| record.member.vm.clone()).collect::<Vec<_>>() {
             if let Some(record) = self.table.records.get_mut(&vm) {
                 record.since = now;
@@ -292,14 +296,14 @@
 
     /// Treats the claim that a member heard recently is dead as a suspicion of this VM, whose probes tell
     /// the member of it. The claim may be true, and then nobody would repeat it to this VM.
-    pub(super) fn doubt(&mut self, now: Millis, vm: &VmId, update: &Update) {
+    pub(super) fn recheck(&mut self, now: Millis, vm: &VmId, update: &Update) {
         let update = Update { claim: Claim::Suspect, ..update.clone() };
         self.apply(now, vm, &update);
         self.suspect(now, vm);
     }
 
-    /// Ends the judgements about a member that a new statement has made void.
-    pub(super) fn acquit(&mut self, vm: &VmId) {
+    /// Ends the probes and suspicions of a member that a new statement has made void.
+    pub(super) fn clear_suspicion(&mut self, vm: &VmId) {
         self.detector.suspicions.remove(vm);
         self.detector.probes.retain(|_, probe| probe.target != *vm);
     }
--- a/crates/jasminecart-core/src/process/exchange.rs
+++ b/crates/jasminecart-core/src/process/exchange.rs
@@ -16,9 +16,9 @@
 /// The period of these tries.
 const JOIN_PERIOD: Millis = Millis(500);
 /// The period of comparisons in the first seconds of a process, which may have lost a part of the table.
-const YOUNG_SYNC_PERIOD: Millis = Millis(2_000);
+const START_SYNC_PERIOD: Millis = Millis(2_000);
 /// One of this many summaries goes to any known VM of a data centre, in case its chosen ones are all gone.
-const STRAY_SUMMARY: u32 = 4;
+const ANY_VM_SUMMARY: u32 = 4;
 
 /// When the next comparisons are due.
 #[derive(Debug, Default)]
@@ -45,9 +45,9 @@
         }
         if now >= self.schedule.next_sync {
             let started = *self.schedule.started.get_or_insert(now);
-            let young = now.since(started) < self.limits.sync_period;
+            let started_recently = now.since(started) < self.limits.sync_period;
             self.schedule.next_sync =
-                now + if young { YOUNG_SYNC_PERIOD } else { self.limits.sync_period };
+                now + if started_recently { START_SYNC_PERIOD } else { self.limits.sync_period };
             let live = self.table.live(&self.own.vm.data_centre);
             let live: Vec<VmId> = live.map(|record| record.member.vm.clone()).collect();
             if let Some(vm) = live.choose(&mut self.rng) {
@@ -95,17 +95,17 @@
             return;
         }
         self.schedule.summaries = self.schedule.summaries.wrapping_add(1);
-        let stray = self.schedule.summaries % STRAY_SUMMARY == 0;
+        let any_vm = self.schedule.summaries % ANY_VM_SUMMARY == 0;
         for data_centre in self.other_data_centres() {
             let live: BTreeSet<&VmId> =
                 self.table.live(&data_centre).map(|record| &record.member.vm).collect();
-            let known = if live.is_empty() || stray {
+            let known = if live.is_empty() || any_vm {
                 live.into_iter().chain(self.contacts.of(&data_centre)).collect()
             } else {
                 live
             };
             let mut known = rendezvous::ranked("summary", known);
-            if !stray {
+            if !any_vm {
                 known.truncate(self.limits.summary_vms);
             }
             if let Some(vm) = known.choose(&mut self.rng).copied().cloned() {
--- a/crates/jasminecart-core/src/process/membership.rs
+++ b/crates/jasminecart-core/src/process/membership.rs
@@ -338,7 +338,7 @@
         } else if self.is_resuming(now) && matches!(update.claim, Claim::Suspect | Claim::Dead) {
             // The claim may have waited in a queue during the pause and be refuted since.
         } else if self.contradicts(now, &vm, update) {
-            self.doubt(now, &vm, update);
+            self.recheck(now, &vm, update);
         } else {
             self.apply(now, &vm, update);
         }
@@ -390,7 +390,7 @@
             self.spread(vm.clone(), passed_on);
         }
         if matches!(applied, Applied::Joined | Applied::Refuted | Applied::Died { .. }) {
-            self.acquit(vm);
+            self.clear_suspicion(vm);
         }
         self.report(vm, applied);
         applied
@@ -493,14 +493,14 @@
         let shown = |record: &&&Record| {
             record.is_live() || now.since(record.since) < self.limits.dead_shown
         };
-        let free_held = self.free_held(&local);
+        let ignore_hold_down = self.ignore_hold_down(&local);
         let view = |record: &Record| {
             let held = record.stated == Stated::Held && record.is_live();
-            let state = if held && free_held { MemberState::Active } else { record.state() };
+            let state = if held && ignore_hold_down { MemberState::Active } else { record.state() };
             Member { state, ..record.member.clone() }
         };
         let mut list: Vec<Member> = local.iter().filter(shown).map(|record| view(record)).collect();
-        list.push(self.own_member(now, free_held));
+        list.push(self.own_member(now, ignore_hold_down));
         list.sort_by(|a, b| a.vm.cmp(&b.vm));
         let remote = remote.iter().filter(|record| record.is_live());
         let remote: Vec<Member> = remote
@@ -509,9 +509,9 @@
         Members::new(self.own.vm.clone(), list).with_remote(remote)
     }
 
-    fn own_member(&self, now: Millis, free_held: bool) -> Member {
+    fn own_member(&self, now: Millis, ignore_hold_down: bool) -> Member {
         let state = match self.own.stated() {
-            Stated::Held if free_held => MemberState::Active,
+            Stated::Held if ignore_hold_down => MemberState::Active,
             Stated::Joining | Stated::Held => MemberState::Joining,
             Stated::Active => MemberState::Active,
             Stated::Leaving => MemberState::Leaving,
@@ -529,7 +529,7 @@
 
     /// Tells whether hold-downs are void because they would leave a minority of members eligible, as after
     /// a link that flapped between two halves of the data centre.
-    fn free_held(&self, local: &[&Record]) -> bool {
+    fn ignore_hold_down(&self, local: &[&Record]) -> bool {
         let live = local.iter().filter(|record| record.is_live());
         let states = live.map(|record| record.stated).chain([self.own.stated()]);
         let (mut held, mut active) = (0, 0);
--- a/crates/jasminecart-core/src/process/rendezvous.rs
+++ b/crates/jasminecart-core/src/process/rendezvous.rs
@@ -20,7 +20,7 @@
     ranked
 }
 
-/// Returns the VM that stands `distance` places after `me` on a ring ordered by hash. The order is by hash
+/// Returns the VM `distance` places after `me` on a ring ordered by hash. The order is by hash
 /// because neighbours by name often share a rack and fail together.
 pub(super) fn successor<'a>(
     me: &VmId,
--- a/crates/jasminecart-core/src/process/table.rs
+++ b/crates/jasminecart-core/src/process/table.rs
@@ -11,7 +11,7 @@
 
 /// The claim of others about a VM, in the order in which one prevails over the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Verdict {
+pub(super) enum Status {
     Alive,
     Suspect,
     Dead,
@@ -24,8 +24,8 @@
     pub(super) member: Member,
     pub(super) counter: u32,
     pub(super) stated: Stated,
-    pub(super) verdict: Verdict,
-    /// When the verdict was last changed.
+    pub(super) status: Status,
+    /// When the status was last changed.
     pub(super) since: Millis,
     /// The most recent unplanned deaths, for the hold-down.
     pub(super) deaths: Vec<Millis>,
@@ -33,27 +33,27 @@
 
 impl Record {
     pub(super) fn is_live(&self) -> bool {
-        self.verdict != Verdict::Dead
+        self.status != Status::Dead
     }
 
     /// Returns the state as the other modules see it. A suspicion is shown only of active members, because
     /// a suspect may own flows and a joining or leaving member may not.
     pub(super) fn state(&self) -> MemberState {
-        match (self.verdict, self.stated) {
-            (Verdict::Dead, _) => MemberState::Dead,
+        match (self.status, self.stated) {
+            (Status::Dead, _) => MemberState::Dead,
             (_, Stated::Joining | Stated::Held) => MemberState::Joining,
             (_, Stated::Leaving) => MemberState::Leaving,
-            (Verdict::Suspect, Stated::Active) => MemberState::Suspect,
-            (Verdict::Alive, Stated::Active) => MemberState::Active,
+            (Status::Suspect, Stated::Active) => MemberState::Suspect,
+            (Status::Alive, Stated::Active) => MemberState::Active,
         }
     }
 
     /// Returns the claim of others about this VM, as an update for `reader`.
     pub(super) fn claim(&self, reader: &Name) -> Option<Update> {
-        let claim = match self.verdict {
-            Verdict::Alive => return None,
-            Verdict::Suspect => Claim::Suspect,
-            Verdict::Dead => Claim::Dead,
+        let claim = match self.status {
+            Status::Alive => return None,
+            Status::Suspect => Claim::Suspect,
+            Status::Dead => Claim::Dead,
         };
         Some(self.update(reader, claim))
     }
@@ -173,9 +173,9 @@
                     revision,
                     heard_at: Millis::ZERO,
                 };
-                let (counter, verdict) = (update.counter, Verdict::Alive);
+                let (counter, status) = (update.counter, Status::Alive);
                 let deaths = Vec::new();
-                let record = Record { member, counter, stated, verdict, since: now, deaths };
+                let record = Record { member, counter, stated, status, since: now, deaths };
                 self.records.insert(vm.clone(), record);
             }
             return if full { Applied::Nothing } else { Applied::Joined };
@@ -194,13 +194,13 @@
         if restarted && record.is_live() && record.stated != Stated::Leaving {
             record.note_death(now);
         }
-        let refuted = record.verdict != Verdict::Alive;
+        let refuted = record.status != Status::Alive;
         let member = &mut record.member;
         member.revision = if restarted { revision } else { member.revision.max(revision) };
         member.heard_at = if restarted { Millis::ZERO } else { member.heard_at };
         (member.incarnation, member.size, member.address) = (update.incarnation, size, address);
         (record.counter, record.stated) = (update.counter, stated);
-        (record.verdict, record.since) = (Verdict::Alive, now);
+        (record.status, record.since) = (Status::Alive, now);
         match (restarted, refuted) {
             (true, _) => Applied::Joined,
             (false, true) => Applied::Refuted,
@@ -212,15 +212,15 @@
         let Some(record) = self.records.get_mut(vm) else { return Applied::Nothing };
         let same = record.member.incarnation == update.incarnation;
         let current = same && update.counter >= record.counter;
-        let stronger = update.counter > record.counter || record.verdict < Verdict::Suspect;
+        let stronger = update.counter > record.counter || record.status < Status::Suspect;
         if !current || !stronger {
             return Applied::Nothing;
         }
         record.counter = update.counter;
-        if record.verdict == Verdict::Suspect {
+        if record.status == Status::Suspect {
             return Applied::Stated;
         }
-        (record.verdict, record.since) = (Verdict::Suspect, now);
+        (record.status, record.since) = (Status::Suspect, now);
         Applied::Suspected
     }
 
@@ -235,7 +235,7 @@
             record.note_death(now);
         }
         (record.member.incarnation, record.counter) = claimed;
-        (record.verdict, record.since) = (Verdict::Dead, now);
+        (record.status, record.since) = (Status::Dead, now);
         Applied::Died { planned }
     }
 
--- a/crates/jasminecart-core/src/version/adoption/fetch.rs
+++ b/crates/jasminecart-core/src/version/adoption/fetch.rs
@@ -26,7 +26,7 @@
     pub(super) revision: Revision,
     pub(super) progress_at: Millis,
     /// When the platform is asked as well, because the transfer takes long.
-    pub(super) back_up_at: Millis,
+    pub(super) platform_at: Millis,
     base: Option<Arc<Document>>,
     assembly: Option<Assembly>,
 }
@@ -50,9 +50,9 @@
         source: VmId,
         revision: Revision,
         base: Option<Arc<Document>>,
-        back_up_at: Millis,
+        platform_at: Millis,
     ) -> Fetch {
-        Fetch { source, revision, progress_at: now, back_up_at, base, assembly: None }
+        Fetch { source, revision, progress_at: now, platform_at, base, assembly: None }
     }
 
     /// Goes on with another source, which can continue the same assembly.
@@ -62,9 +62,9 @@
     }
 
     /// Brings the request to the platform forward, unless it was made.
-    pub(super) fn hurry(&mut self, span: Millis) {
-        if self.back_up_at < Millis::MAX {
-            self.back_up_at = self.back_up_at - span;
+    pub(super) fn ask_platform_early(&mut self, span: Millis) {
+        if self.platform_at < Millis::MAX {
+            self.platform_at = self.platform_at - span;
         }
     }
 
--- a/crates/jasminecart-core/src/version/adoption/limits.rs
+++ b/crates/jasminecart-core/src/version/adoption/limits.rs
@@ -28,16 +28,16 @@
     /// After this time a request to the platform without an answer has failed. A watch waits up to 30 s.
     pub platform_timeout: Millis,
     /// The period in which a watcher that cannot reach the platform asks another VM to watch.
-    pub stand_in_period: Millis,
+    pub backup_watch_period: Millis,
     /// How long a VM watches in place of a watcher.
-    pub stand_in_span: Millis,
+    pub backup_watch_span: Millis,
     /// The wait for a part of a document before another peer is asked.
     pub fetch_timeout: Millis,
     /// A transfer that takes longer than this is backed up by a read of the platform, and one that is
     /// known to take longer from its first part at once.
     pub slow_fetch: Millis,
     /// The time over which the VMs of a data centre spread these reads.
-    pub back_up_spread: Millis,
+    pub platform_read_spread: Millis,
     /// The period in which revision and digest are compared with a random peer.
     pub have_period: Millis,
     /// How many random peers are told of a new revision at once.
@@ -75,11 +75,11 @@
             check_max: Millis::from_secs(60),
             check_wait: Millis::from_secs(1),
             platform_timeout: Millis::from_secs(45),
-            stand_in_period: Millis::from_secs(5),
-            stand_in_span: Millis::from_secs(30),
+            backup_watch_period: Millis::from_secs(5),
+            backup_watch_span: Millis::from_secs(30),
             fetch_timeout: Millis::from_secs(2),
             slow_fetch: Millis(2_500),
-            back_up_spread: Millis::from_secs(1),
+            platform_read_spread: Millis::from_secs(1),
             have_period: Millis::from_secs(10),
             push: 2,
             part_bytes: 16 << 10,
--- a/crates/jasminecart-core/src/version/adoption/mod.rs
+++ b/crates/jasminecart-core/src/version/adoption/mod.rs
@@ -171,7 +171,7 @@
             }
             DocumentMessage::Part(part) => self.on_part(now, from, &part),
             DocumentMessage::Watch { span } => {
-                self.platform.stand_in(now, span, &self.limits);
+                self.platform.backup_watcher(now, span, &self.limits);
                 self.plan(now);
             }
         }
@@ -333,10 +333,10 @@
         if !watcher {
             return;
         }
-        let Some(turn) = self.platform.next_stand_in(now, &self.limits) else { return };
+        let Some(turn) = self.platform.next_backup(now, &self.limits) else { return };
         let place = turn.wrapping_mul(self.limits.watchers).wrapping_add(rank);
-        if let Some(vm) = self.sources.stand_in(self.limits.watchers, place).cloned() {
-            self.send(&vm, DocumentMessage::Watch { span: self.limits.stand_in_span });
+        if let Some(vm) = self.sources.backup_watcher(self.limits.watchers, place).cloned() {
+            self.send(&vm, DocumentMessage::Watch { span: self.limits.backup_watch_span });
         }
     }
 
@@ -421,9 +421,9 @@
         let base = self.current.clone().filter(|_| !self.fetch_whole);
         self.counters.fetches += 1;
         // The reads of the platform are spread, because all VMs are late when most sections change.
-        let spread = Millis(self.rng.random_range(0..=self.limits.back_up_spread.0));
-        let back_up_at = now + self.limits.slow_fetch + spread;
-        let fetch = Fetch::new(now, source, revision, base, back_up_at);
+        let spread = Millis(self.rng.random_range(0..=self.limits.platform_read_spread.0));
+        let platform_at = now + self.limits.slow_fetch + spread;
+        let fetch = Fetch::new(now, source, revision, base, platform_at);
         self.send(&fetch.source, fetch.request());
         self.fetch = Some(fetch);
     }
@@ -432,8 +432,8 @@
     /// as a whole takes long.
     fn check_fetch(&mut self, now: Millis) {
         let Some(mut fetch) = self.fetch.take() else { return };
-        if now >= fetch.back_up_at {
-            fetch.back_up_at = Millis::MAX;
+        if now >= fetch.platform_at {
+            fetch.platform_at = Millis::MAX;
             self.platform.check_soon(now);
         }
         if now.since(fetch.progress_at) < self.limits.fetch_timeout {
@@ -459,7 +459,7 @@
             Received::Ignored => self.fetch = Some(fetch),
             Received::Incomplete => {
                 if part.part == 0 && self.limits.is_slow(part.parts) {
-                    fetch.hurry(self.limits.slow_fetch);
+                    fetch.ask_platform_early(self.limits.slow_fetch);
                 }
                 self.send(from, fetch.request());
                 self.fetch = Some(fetch);
--- a/crates/jasminecart-core/src/version/adoption/platform.rs
+++ b/crates/jasminecart-core/src/version/adoption/platform.rs
@@ -35,9 +35,9 @@
     next_try: Millis,
     next_check: Option<Millis>,
     failures: u32,
-    stand_in_until: Millis,
-    next_stand_in: Millis,
-    stand_ins: usize,
+    backup_until: Millis,
+    next_backup: Millis,
+    backups: usize,
 }
 
 impl Platform {
@@ -47,9 +47,9 @@
     }
 
     /// Watches in place of a VM that cannot reach the platform.
-    pub(super) fn stand_in(&mut self, now: Millis, span: Millis, limits: &AdoptionLimits) {
-        let until = now + span.min(limits.stand_in_span);
-        self.stand_in_until = self.stand_in_until.max(until);
+    pub(super) fn backup_watcher(&mut self, now: Millis, span: Millis, limits: &AdoptionLimits) {
+        let until = now + span.min(limits.backup_watch_span);
+        self.backup_until = self.backup_until.max(until);
     }
 
     /// Makes the next check due at once.
@@ -67,7 +67,7 @@
         rng: &mut ChaCha8Rng,
         limits: &AdoptionLimits,
     ) -> Vec<Request> {
-        let watches = watches || now < self.stand_in_until;
+        let watches = watches || now < self.backup_until;
         let mut requests = Vec::new();
         if let Some((open, since)) = self.open {
             let waited = now.since(since);
@@ -124,14 +124,14 @@
     /// Returns the place after the watchers in the ranking of the VM to ask for a watch, when one is due.
     /// Each request goes to the next VM, because the cause may affect several. A request that is still
     /// open after a while shows that the platform can be reached again.
-    pub(super) fn next_stand_in(&mut self, now: Millis, limits: &AdoptionLimits) -> Option<usize> {
+    pub(super) fn next_backup(&mut self, now: Millis, limits: &AdoptionLimits) -> Option<usize> {
         let waits = self.open.is_some_and(|(_, since)| now.since(since) >= IMMEDIATE);
-        if self.failures < 2 || waits || now < self.next_stand_in {
+        if self.failures < 2 || waits || now < self.next_backup {
             return None;
         }
-        self.next_stand_in = now + limits.stand_in_period;
-        self.stand_ins += 1;
-        Some(self.stand_ins - 1)
+        self.next_backup = now + limits.backup_watch_period;
+        self.backups += 1;
+        Some(self.backups - 1)
     }
 }
 
--- a/crates/jasminecart-core/src/version/adoption/sources.rs
+++ b/crates/jasminecart-core/src/version/adoption/sources.rs
@@ -113,7 +113,7 @@
     }
 
     /// Returns a VM after the watchers in the ranking, in turn.
-    pub(super) fn stand_in(&self, watchers: usize, place: usize) -> Option<&VmId> {
+    pub(super) fn backup_watcher(&self, watchers: usize, place: usize) -> Option<&VmId> {
         let others = self.ranked.get(watchers..).filter(|others| !others.is_empty())?;
         others.get(place % others.len()).filter(|vm| **vm != self.me)
     }
--- a/crates/jasminecart-core/tests/membership.rs
+++ b/crates/jasminecart-core/tests/membership.rs
@@ -104,7 +104,7 @@
 #[test_case(3)]
 #[test_case(10)]
 #[test_case(30)]
-fn a_paused_vm_condemns_nobody_and_comes_back(secs: u64) {
+fn a_paused_vm_removes_nobody_and_comes_back(secs: u64) {
     let mut net = Net::new(nine(), 6);
     net.pause(6, secs);
     net.run(1);
