--- a/crates/jasminecart-bench/src/faults/verdict.rs
+++ b/crates/jasminecart-bench/src/faults/verdict.rs
@@ -1,11 +1,13 @@
 //! What clients and targets saw, and which invariants were broken.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use jasminecart_core::Millis;
 
 /// The most violations that are printed; the first ones show the cause.
 const MAX_PRINTED: usize = 20;
+/// The events kept for the text of a violation.
+const MAX_EVENTS: usize = 16;
 
 /// The counts and violations of a run.
 #[derive(Debug, Default)]
@@ -29,6 +31,7 @@
     pub(super) slow_adoption: u64,
     pub(super) faults: BTreeMap<&'static str, u64>,
     pub(super) violations: Vec<String>,
+    events: VecDeque<String>,
 }
 
 impl Verdict {
@@ -38,8 +41,22 @@
     }
 
     /// Counts an injected fault.
-    pub(super) fn count_fault(&mut self, name: &'static str) {
+    pub(super) fn count_fault(&mut self, now: Millis, name: &'static str) {
         *self.faults.entry(name).or_default() += 1;
+        self.note(now, name);
+    }
+
+    /// Notes an event that helps to find the cause of a later violation.
+    pub(super) fn note(&mut self, now: Millis, text: impl AsRef<str>) {
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(format!("{} {}", now.get(), text.as_ref()));
+    }
+
+    /// Returns the last events.
+    pub(super) fn recent_events(&self) -> String {
+        self.events.iter().cloned().collect::<Vec<_>>().join(", ")
     }
 
     /// Returns the lines for people.
