--- a/crates/jasminecart-core/src/flow/exceptions.rs
+++ b/crates/jasminecart-core/src/flow/exceptions.rs
@@ -9,14 +9,24 @@
 /// A SYN this soon after the first one of its flow is a retransmission. Clients give up after 63 s with
 /// the usual six retransmissions.
 const SYN_SPAN: Millis = Millis::from_secs(75);
+/// A client that has answered sends no more SYN, but the network may still hold a duplicate.
+const DUPLICATE_SPAN: Millis = Millis::from_secs(10);
 /// How long an entry outlives the last packet of a flow that was closed.
 const CLOSED_SPAN: Millis = Millis::from_secs(120);
 /// How long a hint lives without use. It is shorter than [`CLOSED_SPAN`], so that an owner knows the flow
 /// for longer than any hint for it lives.
 const HINT_SPAN: Millis = Millis::from_secs(30);
+/// How long an owner remembers that it gave hints. A hint confirmed last here may be used elsewhere for
+/// 20 s before the next confirmation, and lives 30 s after that.
+const HINTED_SPAN: Millis = Millis::from_secs(60);
 /// How long an idle UDP flow stays known.
 const DATAGRAM_SPAN: Millis = Millis::from_secs(300);
 
+/// The resolution of the times of an entry. 32 bits of it last two years.
+const STEP: Millis = Millis(16);
+/// An owner that has just decided hears within this span that the other one decided before.
+const DECISION_SPAN: Millis = Millis(48);
+
 /// What is known of the state of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
@@ -50,12 +60,16 @@
 pub(super) struct Entry {
     /// The key of the target.
     pub(super) target: u64,
-    /// When the flow was opened, or when a hint was renewed, in seconds.
+    /// When the flow was opened, or when a hint was renewed, in steps of [`STEP`].
     opened: u32,
-    /// When the last packet was seen, in seconds.
+    /// When the last packet was seen, in steps of [`STEP`].
     last: u32,
     /// The state of the flow.
     pub(super) state: State,
+    /// Whether a packet after the SYN was seen.
+    pub(super) answered: bool,
+    /// Whether the entry came from another owner.
+    pub(super) transferred: bool,
     /// Whether other VMs may hold hints.
     pub(super) hinted: bool,
     /// Whether a hint was renewed, which holds unless the owner revokes it.
@@ -67,27 +81,34 @@
 impl Entry {
     /// Tells when the flow was opened or the hint renewed.
     pub(super) fn opened(&self) -> Millis {
-        Millis::from_secs(self.opened.into())
+        instant(self.opened)
     }
 
     /// Tells whether a SYN seen now is a retransmission.
     pub(super) fn is_opening(&self, now: Millis) -> bool {
-        let open = matches!(self.state, State::HalfOpen | State::Established);
-        open && now.since(self.opened()) < SYN_SPAN
+        let span = match self.state {
+            State::HalfOpen if !self.answered => SYN_SPAN,
+            State::HalfOpen | State::Established => DUPLICATE_SPAN,
+            _ => return false,
+        };
+        now.since(self.opened()) < span
     }
 
-    /// Tells whether the flow was opened within the last second, which is the resolution of the entry.
+    /// Tells whether the flow was opened by the packet that is on its way now.
     pub(super) fn is_new(&self, now: Millis) -> bool {
-        seconds(now) <= self.opened + 1
+        now.since(self.opened()) <= DECISION_SPAN
     }
 
     fn last(&self) -> Millis {
-        Millis::from_secs(self.last.into())
+        instant(self.last)
     }
 
     /// Tells whether the entry has outlived its use.
     fn is_due(&self, now: Millis) -> bool {
         let since = if self.state == State::HalfOpen { self.opened() } else { self.last() };
+        if self.state == State::Hint && self.hinted {
+            return now.since(since) > HINTED_SPAN;
+        }
         self.state.span().is_some_and(|span| now.since(since) > span)
     }
 }
@@ -114,7 +135,7 @@
     }
 }
 
-/// Flows with the second in which they were queued, oldest first.
+/// Flows with the step in which they were queued, oldest first.
 type Queue = VecDeque<(u64, u32)>;
 
 /// The table. Every entry that can expire or be evicted is in the queue of its state.
@@ -143,7 +164,7 @@
     /// Returns the entry of a flow for a packet seen now.
     pub(super) fn touch(&mut self, now: Millis, flow: u64) -> Option<&mut Entry> {
         let entry = self.entries.get_mut(&flow).filter(|entry| !entry.is_due(now))?;
-        entry.last = seconds(now);
+        entry.last = steps(now);
         Some(entry)
     }
 
@@ -161,12 +182,14 @@
         if !known && self.entries.len() >= self.max && !self.evict(half_open) {
             return Err(TableFull);
         }
-        let stamp = seconds(now);
+        let stamp = steps(now);
         let entry = Entry {
             target,
             opened: stamp,
             last: stamp,
             state,
+            answered: false,
+            transferred: false,
             hinted: false,
             is_asking: false,
             forwards: 0,
@@ -191,11 +214,11 @@
         }
     }
 
-    /// Turns an entry into a hint that has to be confirmed before it is used.
-    pub(super) fn demote(&mut self, now: Millis, flow: u64) {
-        self.set_state(now, flow, State::Hint);
+    /// Notes that an entry came from another owner, and when its flow was opened.
+    pub(super) fn set_transferred(&mut self, flow: u64, opened: Millis) {
         if let Some(entry) = self.entries.get_mut(&flow) {
-            entry.opened = 0;
+            entry.transferred = true;
+            entry.opened = steps(opened);
         }
     }
 
@@ -209,7 +232,7 @@
     /// Notes that a packet was sent through the owner to confirm a hint.
     pub(super) fn renew(&mut self, now: Millis, flow: u64) {
         if let Some(entry) = self.entries.get_mut(&flow) {
-            entry.opened = seconds(now);
+            entry.opened = steps(now);
             entry.is_asking = true;
         }
     }
@@ -276,7 +299,7 @@
 
     fn expire_queue(&mut self, now: Millis, state: State) {
         let Some(span) = state.span() else { return };
-        let is_past = |queued: u32| now.since(Millis::from_secs(queued.into())) > span;
+        let is_past = |queued: u32| now.since(instant(queued)) > span;
         while let Some((flow, _)) = self.queue(state).and_then(|queue| pop_if(queue, is_past)) {
             let entry = self.entries.get(&flow).filter(|entry| entry.state == state);
             match entry.map(|entry| entry.is_due(now)) {
@@ -294,7 +317,7 @@
             self.compact(state);
         }
         if let Some(queue) = self.queue(state) {
-            queue.push_back((flow, seconds(now)));
+            queue.push_back((flow, steps(now)));
         }
     }
 
@@ -318,8 +341,12 @@
     }
 }
 
-fn seconds(now: Millis) -> u32 {
-    u32::try_from(now.get() / 1_000).unwrap_or(u32::MAX)
+fn steps(now: Millis) -> u32 {
+    u32::try_from(now.get() / STEP.get()).unwrap_or(u32::MAX)
+}
+
+fn instant(steps: u32) -> Millis {
+    Millis(u64::from(steps) * STEP.get())
 }
 
 fn pop_if(queue: &mut Queue, is_past: impl Fn(u32) -> bool) -> Option<(u64, u32)> {
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -11,7 +11,7 @@
 use super::transfers::Cause;
 use super::types::{DropReason, Route};
 use crate::invariant;
-use crate::names::Name;
+use crate::names::{Name, VmId};
 use crate::process::MemberState;
 use crate::time::Millis;
 use crate::version::Protocol;
@@ -140,6 +140,11 @@
         if self.document.is_none() {
             return Route::Drop(DropReason::NoDocument);
         }
+        // Packets that waited during a pause may be older than the present flow of their addresses, and
+        // their senders have repeated what matters.
+        if self.freshness.reads_backlog(now) {
+            return Route::Drop(DropReason::Backlog);
+        }
         let Some(service) = self.by_address.get(&key.service_address()).cloned() else {
             return Route::Drop(DropReason::NoService);
         };
@@ -168,16 +173,26 @@
         // A packet that was passed on twice comes from a VM that takes this one for the first owner.
         if self.is_first(cx) || cx.header.hops >= 2 {
             let second = cx.rank[1];
-            let known = self.known(now, cx).is_some_and(|entry| entry.is_opening(now));
-            // After a pause this VM may not know that a target is draining. The decision takes one more hop
-            // and comes back on another.
-            let may_return = cx.header.hops + 2 <= MAX_HOPS && cx.rank[0] == self.owners.me();
-            if !cx.trusted && !known && may_return && self.is_answering(second) {
+            let known = self.known(now, cx);
+            let known =
+                known.is_some_and(|own| own.is_opening(now) && !self.is_doubtful(now, &own));
+            // After a pause this VM may not know that a target is draining, nor what others decided.
+            let hands_over = !cx.trusted && !known && cx.rank[0] == self.owners.me();
+            if hands_over && cx.may_pass() && self.is_answering(second) {
+                if self.known(now, cx).is_some_and(|own| own.hinted || own.state == State::Hint) {
+                    self.forget(now, cx.flow);
+                }
                 self.flows.remove(cx.flow);
-                return Verdict::Pass { to: second, target: 0, record: true };
+                // The decision takes one more hop and comes back on another, if there is one left.
+                let record = cx.header.hops + 2 <= MAX_HOPS;
+                return Verdict::Pass { to: second, target: 0, record };
             }
             return self.decide(now, cx);
         }
+        // The owner may decide otherwise than for an earlier flow of the same addresses.
+        if self.known(now, cx).is_some_and(|own| own.state == State::Hint || !self.is_owner(cx)) {
+            self.flows.remove(cx.flow);
+        }
         Verdict::Pass { to: cx.rank[0], target: 0, record: false }
     }
 
@@ -190,14 +205,15 @@
         // Hints for an earlier flow of the same addresses stay true if its target is kept.
         let kept = known.filter(|entry| {
             let slot = self.slot(cx, entry.target);
-            entry.hinted && slot.is_some_and(|slot| !slot.target.draining)
+            let hinted = entry.hinted || entry.state == State::Hint;
+            hinted && slot.is_some_and(|slot| !slot.target.draining)
         });
         let current =
             self.table(cx).and_then(|table| table.current(cx.bucket)).map(|slot| slot.key);
         let Some(target) = kept.map(|entry| entry.target).or(current) else {
             return Verdict::Drop(DropReason::NoTarget);
         };
-        if kept.is_none() && known.is_some_and(|entry| entry.hinted) {
+        if kept.is_none() && known.is_some_and(|own| own.hinted || own.state == State::Hint) {
             self.forget(now, cx.flow);
         }
         self.counters.decided += 1;
@@ -212,13 +228,17 @@
             self.counters.unrecorded += 1;
             return Verdict::Base;
         }
-        if self.flows.insert(now, cx.flow, target, State::HalfOpen).is_err() {
+        // Where a hint is held, the packets after the SYN do not come here.
+        let state = if hinted { State::Established } else { State::HalfOpen };
+        if self.flows.insert(now, cx.flow, target, state).is_err() {
             let Some((_, false)) = base else { return Verdict::Drop(DropReason::TableFull) };
             self.counters.unrecorded += 1;
             return Verdict::Base;
         }
-        if let Some(entry) = self.flows.touch(now, cx.flow) {
-            entry.hinted = hinted;
+        if hinted {
+            self.flows.set_hinted(cx.flow);
+            self.repair_owners(cx);
+            self.tell_joining(cx, state);
         }
         self.pass_to_second(cx, target)
     }
@@ -255,11 +275,11 @@
             // The other owner does not know that the SYN is a retransmission, as after a change of owners
             // or a pause.
             let decided_now = entry.state == State::HalfOpen && entry.is_new(now);
-            if self.is_first(cx) && !decided_now {
-                return Verdict::Deliver(entry.target);
-            }
-            if !self.is_first(cx) && cx.may_pass() {
-                return Verdict::Pass { to: cx.rank[0], target: entry.target, record: true };
+            let other = self.other_first(cx).filter(|_| cx.may_pass());
+            match other {
+                Some(to) => return Verdict::Pass { to, target: entry.target, record: true },
+                None if !decided_now => return Verdict::Deliver(entry.target),
+                None => {}
             }
         }
         let known = self.flows.get(now, cx.flow).copied();
@@ -299,7 +319,9 @@
     /// Routes a packet of a flow that may be open, in an unsettled bucket.
     fn later_packet(&mut self, now: Millis, cx: &Context) -> Verdict {
         if let Some(entry) = self.known(now, cx) {
-            self.flows.touch(now, cx.flow);
+            if let Some(own) = self.flows.touch(now, cx.flow) {
+                own.answered = true;
+            }
             return self.known_flow(now, cx, entry);
         }
         if cx.header.target != 0 && self.slot(cx, cx.header.target).is_some() {
@@ -313,6 +335,14 @@
 
     fn known_flow(&mut self, now: Millis, cx: &Context, entry: Entry) -> Verdict {
         let target = entry.target;
+        let first = self.is_first(cx);
+        let other = if first { cx.rank[1] } else { cx.rank[0] };
+        let closes = matches!(cx.kind, PacketKind::Fin | PacketKind::Rst);
+        let doubtful = entry.state != State::Hint && self.is_doubtful(now, &entry) && !closes;
+        if doubtful && self.is_owner(cx) && cx.may_pass() && self.is_answering(other) {
+            let believed = if cx.header.target == 0 { target } else { cx.header.target };
+            return Verdict::Pass { to: other, target: believed, record: false };
+        }
         match cx.header.target {
             0 => {}
             // Another VM holds a hint, perhaps from an earlier owner.
@@ -320,9 +350,7 @@
             _ => self.revoke(cx),
         }
         let ask_first = Verdict::Pass { to: cx.rank[0], target, record: false };
-        let first = self.is_first(cx);
         let owner = self.is_owner(cx);
-        let closes = matches!(cx.kind, PacketKind::Fin | PacketKind::Rst);
         if entry.state == State::Hint {
             return self.hinted_flow(now, cx, entry, closes);
         }
@@ -330,17 +358,15 @@
         if !owner && cx.header.hops <= 1 && self.is_answering(cx.rank[0]) {
             return ask_first;
         }
-        let other = if first { cx.rank[1] } else { cx.rank[0] };
-        let doubtful = self.is_doubtful(now, &entry) && cx.header.target == 0 && !closes;
-        if owner && doubtful && cx.may_pass() && self.is_answering(other) {
-            return Verdict::Pass { to: other, target, record: false };
+        // The next flow of the same addresses may have been opened at an owner that is unknown here.
+        let closed = entry.state == State::Closing && !closes && !first;
+        if closed && cx.unasked && cx.may_pass() && self.is_answering(cx.rank[0]) {
+            return ask_first;
         }
         if closes {
             self.flows.set_state(now, cx.flow, State::Closing);
-            let draining = self.slot(cx, target).is_some_and(|slot| slot.target.draining);
-            // The next flow of the same addresses goes elsewhere.
-            if draining && entry.hinted && first {
-                self.forget(now, cx.flow);
+            if entry.hinted && first {
+                self.forget_draining(now, cx, target);
             }
         }
         let opens = entry.state == State::HalfOpen && !self.needs_no_entry(cx, target);
@@ -360,7 +386,8 @@
                 return ask_first;
             }
         }
-        if owner && entry.state != State::Closing && !closes {
+        // Only the first owner gives hints, because it has to know of them when the addresses are reused.
+        if first && entry.state != State::Closing && !closes {
             self.hint(now, cx, target);
         }
         if !first && !cx.unasked && cx.header.target == 0 {
@@ -379,6 +406,9 @@
         let ask = (unsure || closes) && cx.may_pass() && self.is_answering(next);
         if closes && !first {
             self.flows.remove(cx.flow);
+        } else if closes {
+            self.flows.set_hinted(cx.flow);
+            self.forget_draining(now, cx, target);
         } else if ask && stale {
             self.flows.renew(now, cx.flow);
         }
@@ -411,6 +441,9 @@
         if recorded && let Some(entry) = self.flows.touch(now, cx.flow) {
             entry.hinted = true;
         }
+        if state != State::Hint {
+            self.tell_joining(cx, state);
+        }
         if !self.is_first(cx) {
             return Verdict::Deliver(target);
         }
@@ -510,6 +543,7 @@
                     DropReason::NoService => counters.dropped_no_service += 1,
                     DropReason::TableFull => counters.dropped_table_full += 1,
                     DropReason::NoFragment => counters.dropped_no_fragment += 1,
+                    DropReason::Backlog => counters.dropped_backlog += 1,
                     DropReason::NoDocument | DropReason::NoTarget => {}
                 }
             }
@@ -542,10 +576,19 @@
         self.is_first(cx) || cx.rank[1] == self.owners.me()
     }
 
-    /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one.
+    /// Returns the first owner if it is another VM, perhaps one that has joined unnoticed.
+    fn other_first(&self, cx: &Context) -> Option<u64> {
+        let [future, _] = self.owners.future(cx.flow);
+        let firsts = [cx.rank[0], future];
+        firsts.into_iter().find(|first| *first != 0 && *first != self.owners.me())
+    }
+
+    /// Tells whether an entry may be outdated, because other VMs were owners during a pause of this one
+    /// or have been until now.
     fn is_doubtful(&self, now: Millis, entry: &Entry) -> bool {
-        let resumed = self.freshness.resumed_at();
-        resumed.is_some_and(|at| entry.opened() < at) && !self.is_complete(now)
+        let backlog = self.freshness.backlog_end();
+        let early = backlog.is_some_and(|end| entry.opened() < end);
+        (early || entry.transferred) && !self.is_complete(now)
     }
 
     /// Tells whether a VM is expected to answer.
@@ -606,14 +649,29 @@
         }
         let peers: Vec<_> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
         for vm in peers {
-            self.send(&vm, FlowMessage::Forget { flow });
+            self.send_forget(&vm, flow);
+        }
+    }
+
+    /// Revokes the hints for a flow that closes on a draining target, because the next flow of the same
+    /// addresses goes elsewhere.
+    fn forget_draining(&mut self, now: Millis, cx: &Context, target: u64) {
+        if self.slot(cx, target).is_some_and(|slot| slot.target.draining) {
+            self.forget(now, cx.flow);
         }
     }
 
     /// Revokes the hint of the VM that received the packet from the fabric.
     fn revoke(&mut self, cx: &Context) {
         let Some(vm) = self.owners.get(cx.header.entry).map(|peer| peer.vm.clone()) else { return };
-        self.send(&vm, FlowMessage::Forget { flow: cx.flow });
+        self.send_forget(&vm, cx.flow);
+    }
+
+    /// Revokes a hint at once. New hints wait until the budget has recovered.
+    fn send_forget(&mut self, vm: &VmId, flow: u64) {
+        let message = FlowMessage::Forget { flow };
+        self.hint_budget.spend(message.wire_bytes());
+        self.send(vm, message);
     }
 
     /// Gives the owners an entry that they lack.
