--- a/crates/jasminecart-core/src/request/queue.rs
+++ b/crates/jasminecart-core/src/request/queue.rs
@@ -62,6 +62,8 @@
         if self.waiting.is_empty() {
             self.standing_since = None;
             self.bound_at = None;
+            // The pace of an old backlog would refuse the first requests of a new one.
+            self.pace_ms = None;
         }
         removed
     }
@@ -85,9 +87,17 @@
         self.waiting.last_key_value().map(|(place, _)| *place)
     }
 
-    /// Counts the requests past their backoff.
-    pub(super) fn ready(&self, now: Millis) -> u32 {
-        self.waiting.values().filter(|waiting| waiting.ready_at <= now).count() as u32
+    /// Returns the priorities of the requests past their backoff, the first one first, each with the
+    /// number of requests and the time since which the oldest waits.
+    pub(super) fn demands(&self, now: Millis) -> Vec<(u8, u32, Millis)> {
+        let mut demands: Vec<(u8, u32, Millis)> = Vec::new();
+        for (place, waiting) in self.waiting.iter().filter(|(_, w)| w.ready_at <= now) {
+            match demands.last_mut() {
+                Some((priority, count, _)) if *priority == place.priority => *count += 1,
+                _ => demands.push((place.priority, 1, waiting.since)),
+            }
+        }
+        demands
     }
 
     /// Returns the places of requests that waited too long or whose deadline passed.
@@ -108,12 +118,13 @@
         }
     }
 
-    /// Estimates how long a new request of a priority would wait, from the pace of recent bindings.
+    /// Estimates how long a new request of a priority would wait, from the time between recent bindings
+    /// and the time since the last one.
     pub(super) fn expected_wait(&self, now: Millis, priority: u8) -> Millis {
         let ahead = self.waiting.range(..=Place { priority, order: u64::MAX }).count();
-        let Some(pace) = self.pace_ms else { return Millis::ZERO };
-        let idle = self.bound_at.map_or(0.0, |at| now.since(at).get() as f64);
-        Millis((ahead as f64 * pace.max(idle)) as u64)
+        let last = self.bound_at.or(self.standing_since);
+        let idle = last.map_or(0.0, |at| now.since(at).get() as f64);
+        Millis((ahead as f64 * self.pace_ms.unwrap_or(0.0).max(idle)) as u64)
     }
 
     /// Tells whether a request had to wait lately, so that slots are better kept for first attempts.
--- a/crates/jasminecart-core/src/request/types.rs
+++ b/crates/jasminecart-core/src/request/types.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of request dispatch.
 
-use std::hash::{Hash, Hasher};
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -222,7 +222,7 @@
     /// Returns the tag of a target.
     pub fn of(target: &Name) -> TargetTag {
         let mut hasher = SipHasher13::new_with_keys(0, 0);
-        target.as_str().hash(&mut hasher);
+        hasher.write(target.as_str().as_bytes());
         TargetTag(hasher.finish() as u32 & 0x0fff_ffff)
     }
 }
@@ -257,7 +257,9 @@
 /// What a VM tells the home of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AskItem {
-    /// The VM wants this many slots. Zero withdraws an earlier wish.
+    /// The VM wants this many slots for requests of one class priority. Zero withdraws an earlier wish.
+    /// Each priority has its own wish, because a VM with one waiting claim and many uploads would get
+    /// slots for its uploads before older uploads of others.
     Want {
         /// The target.
         target: TargetTag,
@@ -292,6 +294,8 @@
     Slot {
         /// The target.
         target: TargetTag,
+        /// The priority of the wish that the slot answers.
+        priority: u8,
         /// The most urgent other VM that waits for a slot of the target.
         rival: Option<Urgency>,
     },
@@ -368,6 +372,8 @@
         incarnation: Incarnation,
         /// The part, or nothing for the decision.
         part: Option<u32>,
+        /// The start of the confirming process. A confirmation from before its restart is void.
+        taker: Incarnation,
     },
     /// Announces which VM decides about the keys of a process that stopped.
     Successor {
--- /dev/null
+++ b/crates/jasminecart/src/command.rs
@@ -0,0 +1,235 @@
+//! The commands and their exit codes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use jasminecart_core::ini::Problem;
+use jasminecart_core::version::compare;
+use jasminecart_entry::logging;
+use jasminecart_entry::settings::Settings;
+use jasminecart_standin::demo::{self, DemoOptions};
+
+use crate::errors::Result;
+use crate::{files, operators};
+
+/// The exit codes that each command documents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// The command succeeded.
+    Success,
+    /// The command ran and its result is negative: an invalid document or a broken promise.
+    Negative,
+    /// The command could not be carried out.
+    Failure,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> ExitCode {
+        ExitCode::from(match exit {
+            Exit::Success => 0,
+            Exit::Negative => 1,
+            Exit::Failure => 2,
+        })
+    }
+}
+
+/// A layer-4 load balancer that keeps flows whole.
+///
+/// Exit codes: 0 success, 1 negative result (invalid document, broken promise), 2 usage or I/O error.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Run an entry VM until SIGTERM or SIGINT, then stop it without cutting off requests
+    ///
+    /// Exit code 1 if the settings are invalid or the stop cut something off.
+    #[bpaf(command)]
+    Entry {
+        /// Only check the settings
+        #[bpaf(long)]
+        check: bool,
+        /// The settings of the process
+        #[bpaf(positional("SETTINGS"))]
+        settings: PathBuf,
+    },
+    /// Run a whole environment in this process on loopback, with planned changes and failures
+    ///
+    /// Ends within 60 s with a table and a line of JSON. Exit code 1 if a promise was broken.
+    #[bpaf(command)]
+    Demo {
+        /// Seed that varies the run
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Keep the environment up afterwards and print its addresses
+        #[bpaf(long)]
+        hold: bool,
+    },
+    /// Check a document and print all its problems, each with line, section and key (exit code 1 if any)
+    #[bpaf(command)]
+    Check {
+        /// The environment document
+        #[bpaf(positional("DOCUMENT"))]
+        document: PathBuf,
+    },
+    /// Print the SHA-256 digest of a document, to compare trial with production (exit code 1 if invalid)
+    #[bpaf(command)]
+    Digest {
+        /// The environment document
+        #[bpaf(positional("DOCUMENT"))]
+        document: PathBuf,
+    },
+    /// Print in words what changes from one document to another (exit code 1 if either is invalid)
+    #[bpaf(command)]
+    Compare {
+        /// The document in force
+        #[bpaf(positional("OLD"))]
+        old: PathBuf,
+        /// The document to publish
+        #[bpaf(positional("NEW"))]
+        new: PathBuf,
+    },
+    /// Print the status of a running entry daemon as JSON
+    #[bpaf(command)]
+    Status {
+        /// The address of its operators' listener
+        #[bpaf(positional("ADDRESS"))]
+        address: SocketAddr,
+    },
+    /// Explain where a flow or a request goes on a running entry daemon, and why
+    #[bpaf(command)]
+    Explain {
+        /// What to explain
+        #[bpaf(external)]
+        subject: Subject,
+        /// The address of its operators' listener
+        #[bpaf(positional("ADDRESS"))]
+        address: SocketAddr,
+    },
+}
+
+/// What to explain.
+#[derive(Clone, Debug, Bpaf)]
+pub enum Subject {
+    /// A flow
+    Flow {
+        /// Protocol, client and service, such as tcp,10.9.0.1:40000,10.0.0.1:443
+        #[bpaf(long, argument("FLOW"))]
+        flow: String,
+    },
+    /// A request
+    Service {
+        /// The name of the service
+        #[bpaf(long, argument("NAME"))]
+        service: String,
+    },
+}
+
+/// Carries out a command.
+pub async fn run(command: Command) -> Exit {
+    let result = match command {
+        Command::Entry { check: true, settings } => check_settings(&settings),
+        Command::Entry { check: false, settings } => entry(&settings).await,
+        Command::Demo { seed, hold } => demo(seed, hold).await,
+        Command::Check { document } => check(&document),
+        Command::Digest { document } => digest(&document),
+        Command::Compare { old, new } => compare_files(&old, &new),
+        Command::Status { address } => show(address, "/status").await,
+        Command::Explain { subject, address } => show(address, &explain_path(&subject)).await,
+    };
+    result.unwrap_or_else(|error| {
+        eprintln!("jasminecart: {error}");
+        Exit::Failure
+    })
+}
+
+fn read_settings(path: &Path) -> Result<Option<Settings>> {
+    match Settings::parse(&files::read(path)?) {
+        Ok(settings) => Ok(Some(settings)),
+        Err(errors) => {
+            print_problems(path, &errors.problems);
+            Ok(None)
+        }
+    }
+}
+
+fn check_settings(path: &Path) -> Result<Exit> {
+    let Some(settings) = read_settings(path)? else { return Ok(Exit::Negative) };
+    println!("{}: valid settings of {}", path.display(), settings.me);
+    Ok(Exit::Success)
+}
+
+async fn entry(path: &Path) -> Result<Exit> {
+    let Some(settings) = read_settings(path)? else { return Ok(Exit::Negative) };
+    logging::init(&settings.log);
+    let report = jasminecart_entry::run(settings).await?;
+    Ok(if report.drained && report.cut_off == 0 { Exit::Success } else { Exit::Negative })
+}
+
+async fn demo(seed: u64, hold: bool) -> Result<Exit> {
+    let options = DemoOptions::new(seed).with_hold(hold).with_progress(|line| println!("{line}"));
+    let report = demo::run(options).await?;
+    if !hold {
+        report.lines().iter().for_each(|line| println!("{line}"));
+    }
+    Ok(if report.is_kept() { Exit::Success } else { Exit::Negative })
+}
+
+fn print_problems(path: &Path, problems: &[Problem]) {
+    for problem in problems {
+        println!("{}: {problem}", path.display());
+    }
+}
+
+fn check(path: &Path) -> Result<Exit> {
+    Ok(match files::read_document(path)? {
+        Ok(document) => {
+            let (services, targets) = (document.services().len(), document.targets().len());
+            println!("{}: valid, {services} services, {targets} targets", path.display());
+            Exit::Success
+        }
+        Err(errors) => {
+            print_problems(path, &errors.problems);
+            Exit::Negative
+        }
+    })
+}
+
+fn digest(path: &Path) -> Result<Exit> {
+    match files::read_document(path)? {
+        Ok(document) => {
+            println!("{}", document.digest());
+            Ok(Exit::Success)
+        }
+        Err(_) => check(path),
+    }
+}
+
+fn compare_files(old: &Path, new: &Path) -> Result<Exit> {
+    match (files::read_document(old)?, files::read_document(new)?) {
+        (Ok(old), Ok(new)) => {
+            let changes = compare(&old, &new);
+            for change in &changes {
+                println!("{change}");
+            }
+            if changes.is_empty() {
+                println!("no change");
+            }
+            Ok(Exit::Success)
+        }
+        (Err(_), _) => check(old),
+        (_, Err(_)) => check(new),
+    }
+}
+
+async fn show(address: SocketAddr, path: &str) -> Result<Exit> {
+    println!("{}", operators::get(address, path).await?);
+    Ok(Exit::Success)
+}
+
+fn explain_path(subject: &Subject) -> String {
+    match subject {
+        Subject::Flow { flow } => format!("/explain?flow={}", operators::escape(flow)),
+        Subject::Service { service } => format!("/explain?service={}", operators::escape(service)),
+    }
+}
