--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -1,7 +1,7 @@
 //! What routers tell each other: generations, entries for new owners, and hints.
 
 use super::exceptions::{Entry, State};
-use super::hash::{hash, mix};
+use super::hash::{hash, mix, vm_hash};
 use super::messages::{FlowMessage, ServiceGenerations, TransferEntry, TransferGroup};
 use super::owners::Owners;
 use super::router::Router;
@@ -31,7 +31,7 @@
     pub fn on_message(&mut self, now: Millis, from: &VmId, message: FlowMessage) -> Vec<Outgoing> {
         self.run(now);
         match message {
-            FlowMessage::Hint { flow, target } => self.take_hint(now, flow, target),
+            FlowMessage::Hint { flow, target } => self.take_hint(now, from, flow, target),
             FlowMessage::Forget { flow } => {
                 if self.flows.get(now, flow).is_some_and(|entry| entry.state == State::Hint) {
                     self.flows.remove(flow);
@@ -248,10 +248,14 @@
         services
     }
 
-    fn take_hint(&mut self, now: Millis, flow: u64, target: u64) {
+    /// Takes a hint of the first owner, or as first owner a hint of the second. While the owners change,
+    /// the next ones would not know of it.
+    fn take_hint(&mut self, now: Millis, from: &VmId, flow: u64, target: u64) {
+        let [first, second, _] = self.owners.ranked(flow);
+        let giver = if first == self.owners.me() { second } else { first };
         let known = self.flows.get(now, flow).is_some_and(|entry| entry.state != State::Hint);
         let resolves = self.services.values().any(|table| table.by_key(target).is_some());
-        if !known && resolves {
+        if giver == vm_hash(from) && self.is_complete(now) && !known && resolves {
             // Without room the packets keep taking the extra hop.
             let _ = self.flows.insert(now, flow, target, State::Hint);
         }
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -608,9 +608,9 @@
     fn hint(&mut self, now: Millis, cx: &Context, target: u64) {
         let message = FlowMessage::Hint { flow: cx.flow, target };
         let me = self.owners.me();
-        let Some(peer) = self.owners.get(cx.header.entry).filter(|peer| peer.hash != me) else {
-            return;
-        };
+        let complete = self.is_complete(now);
+        let entry = self.owners.get(cx.header.entry);
+        let Some(peer) = entry.filter(|peer| complete && peer.hash != me) else { return };
         let Some(entry) = self.flows.touch(now, cx.flow) else { return };
         entry.forwards = entry.forwards.saturating_add(1);
         if entry.forwards < HINT_AFTER || !self.hint_budget.take(message.wire_bytes()) {
--- a/crates/jasminecart-core/tests/flow.rs
+++ b/crates/jasminecart-core/tests/flow.rs
@@ -138,3 +138,180 @@
         assert_ne!(cluster.target(number % 4, udp(number), PacketKind::Datagram), "c");
     }
 }
+
+const DRAINED: &[(&str, u32, bool)] =
+    &[("a", 1, false), ("b", 2, true), ("c", 4, false), ("d", 3, false)];
+
+/// A cluster in which a target drains and another was added, with flows opened before and after.
+fn changed(vms: usize) -> (Cluster, Vec<(usize, String)>) {
+    let mut cluster = Cluster::new(vms, &document(1, THREE));
+    let mut flows = open(&mut cluster, 0);
+    cluster.publish(&document(2, DRAINED));
+    cluster.advance(6_000);
+    flows.extend(open(&mut cluster, 1_000));
+    (cluster, flows)
+}
+
+// Guards against a VM that trusts its tables after a pause or without the newest document.
+#[test_case(2_000, false; "a short pause")]
+#[test_case(20_000, false; "a long pause")]
+#[test_case(2_000, true; "a pause during a change")]
+fn a_paused_vm_breaks_no_flow(span: u64, change: bool) {
+    let (mut cluster, mut flows) = changed(5);
+    cluster.vms[0].paused = true;
+    if change {
+        let next = document(3, &[("a", 1, true), ("b", 2, true), ("c", 4, false), ("d", 3, false)]);
+        (1..5).for_each(|index| cluster.adopt(index, &next));
+    }
+    cluster.advance(span);
+    if span > 10_000 {
+        // The others find the VM dead, open flows without it and see it again.
+        cluster.vms[0].state = MemberState::Dead;
+        cluster.advance(3_000);
+        for number in 3_000..3_400 {
+            let target = cluster.target(1 + number % 4, tcp(number), SYN);
+            assert_eq!(cluster.target(1 + (number + 1) % 4, tcp(number), DATA), target);
+            flows.push((number, target));
+        }
+        cluster.vms[0].state = MemberState::Active;
+    }
+    cluster.vms[0].paused = false;
+    // The VM drops what it reads in the first 250 ms.
+    cluster.advance(500);
+    for step in 0..10 {
+        check(&mut cluster, &flows, step);
+        cluster.advance(1_000);
+    }
+}
+
+// Guards against replayed packets that are older than the present flow of their addresses.
+#[test]
+fn packets_that_waited_during_a_pause_are_dropped() {
+    let (mut cluster, _) = changed(3);
+    cluster.now += jasminecart_core::Millis(5_000);
+    assert_eq!(cluster.send(0, tcp(1), DATA), Err(DropReason::Backlog));
+    assert_eq!(cluster.vms[0].router.counters().pauses, 1);
+}
+
+// Guards against stale hints, entries and generations when the addresses of a closed flow are used again.
+#[test_case(0; "at once")]
+#[test_case(20; "while hints live")]
+#[test_case(200; "after all entries expired")]
+fn a_reused_port_is_a_new_flow(seconds: u64) {
+    let (mut cluster, flows) = changed(4);
+    for _ in 0..6 {
+        // Makes owners give hints.
+        check(&mut cluster, &flows, 0);
+        cluster.advance(500);
+    }
+    for (number, target) in &flows {
+        assert_eq!(cluster.target(number % 4, tcp(*number), PacketKind::Fin), *target);
+    }
+    cluster.advance(200 + seconds * 1_000);
+    let mut reopened = Vec::new();
+    for (number, _) in &flows {
+        let target = cluster.target((number + 1) % 4, tcp(*number), SYN);
+        assert_ne!(target, "b", "the draining target gets a new flow");
+        reopened.push((*number, target));
+    }
+    cluster.advance(200);
+    for step in 0..8 {
+        check(&mut cluster, &reopened, step);
+        cluster.advance(10_000);
+    }
+}
+
+// Guards against a retransmitted SYN that is decided again after the document or the owners changed.
+#[test]
+fn a_retransmitted_syn_keeps_its_target() {
+    let mut cluster = Cluster::new(5, &document(1, THREE));
+    cluster.publish(&document(2, DRAINED));
+    let first: Vec<String> = (0..FLOWS).map(|n| cluster.target(n % 5, tcp(n), SYN)).collect();
+    cluster.advance(4_000);
+    for (number, target) in first.iter().enumerate() {
+        assert_eq!(cluster.target((number + 2) % 5, tcp(number), SYN), *target);
+        assert_eq!(cluster.target((number + 3) % 5, tcp(number), DATA), *target);
+    }
+}
+
+// Guards against a target that comes back under its old name and gets the flows of its former self.
+#[test]
+fn a_target_that_returns_is_another_target() {
+    let (mut cluster, flows) = changed(4);
+    let without: Vec<_> = DRAINED.iter().copied().filter(|target| target.0 != "b").collect();
+    cluster.publish(&document(3, &without));
+    cluster.advance(5_000);
+    let again: Vec<_> = without.iter().copied().chain([("b", 2, false)]).collect();
+    // One VM never sees the revision without the target.
+    cluster.publish(&document(5, &again));
+    cluster.advance(5_000);
+    let kept: Vec<_> = flows.into_iter().filter(|(_, target)| target != "b").collect();
+    for step in 0..4 {
+        check(&mut cluster, &kept, step);
+    }
+    let fresh = open(&mut cluster, 5_000);
+    assert!(fresh.iter().any(|(_, target)| target == "b"));
+    for step in 0..4 {
+        check(&mut cluster, &fresh, step);
+    }
+}
+
+// Guards against a VM that skips revisions and takes a returned target for its former self.
+#[test]
+fn a_vm_that_skips_revisions_learns_the_generations() {
+    let mut cluster = Cluster::new(4, &document(1, THREE));
+    let without = document(2, &THREE[..2]);
+    (0..3).for_each(|index| cluster.adopt(index, &without));
+    cluster.advance(5_000);
+    cluster.publish(&document(3, THREE));
+    cluster.advance(5_000);
+    let flows = open(&mut cluster, 0);
+    for step in 0..4 {
+        check(&mut cluster, &flows, step);
+    }
+}
+
+// Guards against a flood that evicts established flows, and against a table without bound.
+#[test]
+fn a_full_table_keeps_established_flows() {
+    let limits = jasminecart_core::flow::FlowLimits { max_exceptions: 400 };
+    let mut cluster = Cluster::with_limits(3, &document(1, THREE), limits);
+    cluster.publish(&document(2, DRAINED));
+    cluster.advance(5_000);
+    let flows = open(&mut cluster, 0);
+    for number in 10_000..14_000 {
+        let target = cluster.target(number % 3, tcp(number), SYN);
+        assert_ne!(target, "b");
+    }
+    check(&mut cluster, &flows, 0);
+    for vm in &mut cluster.vms {
+        assert!(vm.router.measure().entries <= 400);
+    }
+}
+
+// Guards against fragments of one packet that reach different targets.
+#[test]
+fn later_fragments_follow_the_first() {
+    let (mut cluster, flows) = changed(4);
+    for (number, target) in flows.iter().take(50) {
+        let key = tcp(*number);
+        let id = *number as u32;
+        let kind = PacketKind::FirstFragment { id, syn: false };
+        assert_eq!(cluster.target(number % 4, key, kind), *target);
+        for entry in 0..4 {
+            assert_eq!(cluster.fragment(entry, key, id), Ok(target.clone()));
+        }
+        assert_eq!(cluster.fragment(0, key, id + 1), Err(DropReason::NoFragment));
+    }
+}
+
+#[test]
+fn an_explanation_names_target_owners_and_revision() {
+    let (cluster, flows) = changed(3);
+    let (number, target) = &flows[FLOWS];
+    let explained: Vec<_> =
+        cluster.vms.iter().map(|vm| vm.router.explain(cluster.now, &tcp(*number))).collect();
+    assert!(explained.iter().any(|why| why.target.as_ref().is_some_and(|t| t.as_str() == target)));
+    assert!(explained[0].reason.contains("owners ub-1/vm-"), "{}", explained[0].reason);
+    assert!(explained[0].reason.contains("revision 2"), "{}", explained[0].reason);
+}
