Do less work for each control message and queue scan

Change: one dispatch a message, none for an answer that cannot widen the search, expired requests are searched for every 10 ms, waiting requests are counted up to 16, and demand is counted again only after a change. Requests past their deadline are passed over at once.

--- a/crates/jasminecart-core/src/request/assign.rs
+++ b/crates/jasminecart-core/src/request/assign.rs
@@ -68,9 +68,14 @@
         let targets = self.in_order(now, service, priority);
         let width = self.widths.get(&(service.clone(), priority)).copied().unwrap_or(ASK_WIDTH);
         let mut asked = 0;
+        let mut queued = usize::MAX;
+        let mut demand = None;
         for target in targets {
-            let demands = self.demands(now, service);
-            let demand = demands.into_iter().find(|(other, ..)| *other == priority);
+            if queued != self.queued {
+                queued = self.queued;
+                let mut demands = self.demands(now, service).into_iter();
+                demand = demands.find(|(other, ..)| *other == priority);
+            }
             let Some((_, waiting, since)) = demand else { return };
             if asked >= width.saturating_mul(waiting as usize) {
                 return;
@@ -169,7 +174,8 @@
         let mine: Vec<u8> = self.demands(now, service).iter().map(|demand| demand.0).collect();
         self.widths.retain(|(other, priority), _| other != service || mine.contains(priority));
         for target in active.iter() {
-            let needed = self.needed(now, target);
+            let shared = self.directory.target(target).is_some_and(|info| info.services.len() > 1);
+            let needed = if shared { self.needed(now, target) } else { mine.clone() };
             self.homes.keep_wishes(&self.me, target, |priority| needed.contains(&priority));
             let Some(home) = self.directory.home(target).cloned() else { continue };
             for priority in self.asks.asked(target) {
@@ -412,9 +418,9 @@
 
     /// Refuses requests of a service that waited too long or whose deadline passed.
     fn give_up_expired(&mut self, now: Millis, service: &Name, out: &mut Outbox) {
-        let Some(queue) = self.queues.get(service) else { return };
-        let expired: Vec<RequestId> = queue
-            .expired(now)
+        let Some(queue) = self.queues.get_mut(service) else { return };
+        let expired = queue.expired(now);
+        let expired: Vec<RequestId> = expired
             .into_iter()
             .filter_map(|place| queue.get(place).map(|waiting| waiting.request))
             .collect();
--- a/crates/jasminecart-core/src/request/peers.rs
+++ b/crates/jasminecart-core/src/request/peers.rs
@@ -1,9 +1,11 @@
 //! Messages between dispatchers: slots asked for and granted, and handed-over keys.
 
+use std::collections::BTreeSet;
+
 use super::assign::{ASK_WIDTH, MAX_ASK_WIDTH};
 use super::dispatcher::Dispatcher;
 use super::outbox::Outbox;
-use super::types::{AskItem, AskStamp, GrantItem, RequestMessage, TargetTag, Urgency};
+use super::types::{AskItem, AskStamp, GrantItem, RequestMessage, TargetTag};
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 
@@ -27,8 +29,15 @@
             }
             RequestMessage::Grant { echo, items } => {
                 self.asks.heard(from);
+                let mut services = BTreeSet::new();
                 for item in items.into_iter().take(MAX_ITEMS) {
-                    self.take_grant(now, from, echo, item, out);
+                    if let Some(target) = self.take_grant(now, from, echo, item, out) {
+                        let info = self.directory.target(&target);
+                        services.extend(info.into_iter().flat_map(|info| info.services.clone()));
+                    }
+                }
+                for service in services {
+                    self.dispatch(now, &service, out);
                 }
             }
             RequestMessage::Keys(records) if !self.leaving => {
@@ -106,6 +115,7 @@
         }
     }
 
+    /// Takes one item of a grant, and returns the target whose services may need other slots now.
     fn take_grant(
         &mut self,
         now: Millis,
@@ -113,7 +123,7 @@
         echo: AskStamp,
         item: GrantItem,
         out: &mut Outbox,
-    ) {
+    ) -> Option<Name> {
         let (GrantItem::Slot { target: tag, .. }
         | GrantItem::Busy { target: tag, .. }
         | GrantItem::NotHome { target: tag }) = item;
@@ -122,42 +132,39 @@
             if matches!(item, GrantItem::Slot { .. }) {
                 out.ask(from, AskItem::Release { target: tag });
             }
-            return;
+            return None;
         };
         match item {
             GrantItem::Slot { .. } if echo.age(now) >= self.limits.lease => {
                 self.counters.grants_lapsed += 1;
+                return None;
             }
             GrantItem::Slot { priority, rival, .. } => {
                 self.asks.granted(now, &target, priority, rival);
                 self.take_slot(now, from, &target, out);
-                self.dispatch_for(now, &target, out);
             }
-            GrantItem::Busy { rival, .. } => self.take_busy(now, &target, rival, out),
-            GrantItem::NotHome { .. } => {
-                self.asks.denied(now, &target);
-                self.dispatch_for(now, &target, out);
+            GrantItem::Busy { rival, .. } => {
+                self.asks.busy(now, &target, rival);
+                if !self.widen(&target) {
+                    return None;
+                }
             }
+            GrantItem::NotHome { .. } => self.asks.denied(now, &target),
         }
+        Some(target)
     }
 
-    /// Widens the search for a slot.
-    fn take_busy(&mut self, now: Millis, target: &Name, rival: Option<Urgency>, out: &mut Outbox) {
-        self.asks.busy(now, target, rival);
+    /// Widens the search for a slot after a busy answer, and tells whether it was not at its widest.
+    fn widen(&mut self, target: &Name) -> bool {
         let services = self.directory.target(target).map(|info| info.services.clone());
+        let mut wider = false;
         for service in services.iter().flatten() {
             for priority in self.asks.asked(target) {
                 let width = self.widths.entry((service.clone(), priority)).or_insert(ASK_WIDTH);
+                wider |= *width < MAX_ASK_WIDTH;
                 *width = (*width + 1).min(MAX_ASK_WIDTH);
             }
-            self.dispatch(now, service, out);
-        }
-    }
-
-    fn dispatch_for(&mut self, now: Millis, target: &Name, out: &mut Outbox) {
-        let services = self.directory.target(target).map(|info| info.services.clone());
-        for service in services.iter().flatten() {
-            self.dispatch(now, service, out);
         }
+        wider
     }
 }
--- a/crates/jasminecart-core/src/request/queue.rs
+++ b/crates/jasminecart-core/src/request/queue.rs
@@ -17,6 +17,12 @@
 /// waiting time, because the slots stay busy with a shorter queue as well.
 const STANDING_DIVISOR: u64 = 2;
 
+/// The queue is searched for requests that waited too long this often at most. Deadlines are exact, because
+/// requests past theirs are passed over.
+const SCAN_INTERVAL: Millis = Millis(10);
+/// Waiting requests of one priority are counted up to this number, which is enough to ask for slots.
+const MAX_COUNTED: usize = 16;
+
 /// The place of a request in a queue. A lower priority number goes first, then the earlier request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place {
@@ -37,6 +43,12 @@
     pub(super) deadline: Millis,
 }
 
+impl Waiting {
+    fn is_ready(&self, now: Millis) -> bool {
+        self.ready_at <= now && now < self.deadline
+    }
+}
+
 /// The queue of one service.
 #[derive(Debug, Default)]
 pub(super) struct Queue {
@@ -45,6 +57,7 @@
     bound_at: Option<Millis>,
     pace_ms: Option<f64>,
     strained_at: Option<Millis>,
+    scan_at: Millis,
 }
 
 impl Queue {
@@ -78,7 +91,7 @@
         now: Millis,
         mut suits: impl FnMut(RequestId) -> bool,
     ) -> Option<(Place, Waiting)> {
-        let mut ready = self.waiting.iter().filter(|(_, waiting)| waiting.ready_at <= now);
+        let mut ready = self.waiting.iter().filter(|(_, waiting)| waiting.is_ready(now));
         ready.find(|(_, waiting)| suits(waiting.request)).map(|(place, waiting)| (*place, *waiting))
     }
 
@@ -88,20 +101,30 @@
     }
 
     /// Returns the priorities of the requests past their backoff, the first one first, each with the
-    /// number of requests and the time since which the oldest waits.
+    /// number of requests, up to [`MAX_COUNTED`], and the time since which the oldest waits.
     pub(super) fn demands(&self, now: Millis) -> Vec<(u8, u32, Millis)> {
-        let mut demands: Vec<(u8, u32, Millis)> = Vec::new();
-        for (place, waiting) in self.waiting.iter().filter(|(_, w)| w.ready_at <= now) {
-            match demands.last_mut() {
-                Some((priority, count, _)) if *priority == place.priority => *count += 1,
-                _ => demands.push((place.priority, 1, waiting.since)),
+        let mut demands = Vec::new();
+        let mut from = Place { priority: 0, order: 0 };
+        while let Some((place, _)) = self.waiting.range(from..).next() {
+            let priority = place.priority;
+            let of_priority = self.waiting.range(*place..=Place { priority, order: u64::MAX });
+            let ready = of_priority.map(|(_, waiting)| waiting).filter(|w| w.is_ready(now));
+            let counted: Vec<Millis> = ready.take(MAX_COUNTED).map(|w| w.since).collect();
+            if let Some(since) = counted.first() {
+                demands.push((priority, counted.len() as u32, *since));
             }
+            let Some(next) = priority.checked_add(1) else { break };
+            from = Place { priority: next, order: 0 };
         }
         demands
     }
 
     /// Returns the places of requests that waited too long or whose deadline passed.
-    pub(super) fn expired(&self, now: Millis) -> Vec<Place> {
+    pub(super) fn expired(&mut self, now: Millis) -> Vec<Place> {
+        if now < self.scan_at || self.waiting.is_empty() {
+            return Vec::new();
+        }
+        self.scan_at = now + SCAN_INTERVAL;
         let late = |waiting: &Waiting| {
             now >= waiting.deadline
                 || now.since(waiting.since) > self.allowed(now, waiting.max_wait)
