Skip unchanged member lists in adoption and the end of stopped watches

Cause: `measure documents` took 33 s on a busy machine, a good part of it for member lists that differ only in when a member was heard. A watch that was ended on request could report a failure and start a backoff.

--- a/crates/jasminecart-core/src/version/adoption/mod.rs
+++ b/crates/jasminecart-core/src/version/adoption/mod.rs
@@ -147,6 +147,8 @@
                 }
             }
             PlatformReply::Unchanged => self.platform.answered(now, false),
+            // A watch that was ended on request may still report that it got no answer.
+            PlatformReply::Unavailable if !self.platform.is_asked() => {}
             PlatformReply::Unavailable => {
                 self.counters.platform_failures += 1;
                 self.platform.failed(now, &mut self.rng, &self.limits);
--- a/crates/jasminecart-core/src/version/adoption/platform.rs
+++ b/crates/jasminecart-core/src/version/adoption/platform.rs
@@ -104,6 +104,11 @@
         requests
     }
 
+    /// Tells whether a request waits for its answer.
+    pub(super) fn is_asked(&self) -> bool {
+        self.open.is_some()
+    }
+
     /// Notes that the platform answered.
     pub(super) fn answered(&mut self, now: Millis, news: bool) {
         self.failures = 0;
--- a/crates/jasminecart-core/src/version/adoption/sources.rs
+++ b/crates/jasminecart-core/src/version/adoption/sources.rs
@@ -4,7 +4,7 @@
 
 use super::refused::Refused;
 use crate::names::{Incarnation, VmId};
-use crate::process::{MemberState, Members, rendezvous};
+use crate::process::{Member, MemberState, Members, rendezvous};
 use crate::time::Millis;
 use crate::version::document::Revision;
 
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(super) struct Sources {
     me: VmId,
+    previous: Option<Members>,
     /// The live members of the data centre that are not leaving, and this VM.
     staying: Vec<VmId>,
     /// The same VMs by their rank for watching the platform.
@@ -26,6 +27,7 @@
 impl Sources {
     pub(super) fn new(me: VmId) -> Sources {
         Sources {
+            previous: None,
             staying: vec![me.clone()],
             ranked: vec![me.clone()],
             me,
@@ -34,13 +36,20 @@
     }
 
     pub(super) fn set_members(&mut self, members: &Members) {
+        // Most lists differ from the previous one only in when a member was heard.
+        let known = self.previous.as_ref();
+        if known.is_some_and(|known| {
+            is_same(&known.list, &members.list) && is_same(&known.remote, &members.remote)
+        }) {
+            return;
+        }
+        self.previous = Some(members.clone());
         let staying = members
             .list
             .iter()
             .filter(|member| member.is_reachable() && member.state != MemberState::Leaving);
         let others = staying.map(|member| &member.vm).filter(|vm| **vm != self.me);
         let staying: Vec<&VmId> = others.chain([&self.me]).collect();
-        // Most lists differ from the previous one in times and revisions only.
         if !staying.iter().copied().eq(&self.staying) {
             self.staying = staying.into_iter().cloned().collect();
             let ranked = rendezvous::ranked("watch", &self.staying);
@@ -79,6 +88,7 @@
     /// Forgets the revision of a VM that did not deliver it, until it reports one again.
     pub(super) fn forget(&mut self, vm: &VmId) {
         self.revisions.remove(vm);
+        self.previous = None;
     }
 
     /// Returns the highest revision above the one in force that was not refused, and the VMs that have it,
@@ -118,3 +128,13 @@
         others.get(place % others.len()).filter(|vm| **vm != self.me)
     }
 }
+
+/// Tells whether two lists are equal in what adoption uses.
+fn is_same(one: &[Member], other: &[Member]) -> bool {
+    let used = |member: &Member| {
+        let heard = member.heard_at > Millis::ZERO;
+        (member.incarnation, member.state, member.revision, heard)
+    };
+    let same = |(a, b): (&Member, &Member)| used(a) == used(b) && a.vm == b.vm;
+    one.len() == other.len() && one.iter().zip(other).all(same)
+}
--- a/crates/jasminecart-core/tests/adoption.rs
+++ b/crates/jasminecart-core/tests/adoption.rs
@@ -226,6 +226,20 @@
     assert!(requests <= most, "{requests} requests in 60 s");
 }
 
+// Guards against a backoff that starts because a watch was ended on request.
+#[test]
+fn the_end_of_a_stopped_watch_is_no_failure() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document(1));
+    let steps = adoption.tick(Millis(1_200));
+    assert!(steps.iter().any(|step| matches!(step, Step::Watch { .. })), "{steps:?}");
+    for turn in 0..10 {
+        adoption.on_platform(Millis(1_210 + turn), PlatformReply::Unavailable);
+    }
+    assert_eq!(adoption.counters().platform_failures, 1, "only the open watch can fail");
+}
+
 // Guards against parts that break the bound of a message, and against whole documents at each change.
 #[test]
 fn only_changed_sections_are_sent_in_bounded_messages() {
