--- a/crates/jasminecart-core/src/process/membership.rs
+++ b/crates/jasminecart-core/src/process/membership.rs
@@ -44,6 +44,16 @@
     Refuted(VmId),
 }
 
+/// What a direct message proves and how it is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// It gets an answer, which carries a claim about the sender.
+    Ping,
+    /// It answers a message of this VM and is therefore recent.
+    Answer,
+    Other,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Dirty {
     Clean,
@@ -209,6 +219,11 @@
         }
     }
 
+    /// Tells whether messages may still have waited in a queue during a pause of this process.
+    pub(super) fn is_resuming(&self, now: Millis) -> bool {
+        now < self.grace_until
+    }
+
     fn accepts(&mut self, from: &VmId, message: &MemberMessage) -> bool {
         let inside = from.data_centre == self.own.vm.data_centre;
         let summary = matches!(message, MemberMessage::Sync { .. } | MemberMessage::Table { .. });
@@ -224,26 +239,25 @@
 
     fn dispatch(&mut self, now: Millis, from: &VmId, message: MemberMessage) {
         let head = message.head();
-        let answers = matches!(message, MemberMessage::Ack { .. });
         match message {
             MemberMessage::Ping { seq, updates, .. } => {
                 self.take_updates(now, from, &updates);
-                self.hear(now, from, head, answers);
+                self.hear(now, from, head, Kind::Ping);
                 let (head, updates) = (self.own.head(), self.updates_for(from));
                 self.send(from, MemberMessage::Ack { seq, head, updates });
             }
             MemberMessage::Ack { seq, updates, .. } => {
                 self.take_updates(now, from, &updates);
-                self.hear(now, from, head, answers);
+                self.hear(now, from, head, Kind::Answer);
                 self.on_ack(from, seq, head);
             }
             MemberMessage::Relay { seq, target, updates, .. } => {
                 self.take_updates(now, from, &updates);
-                self.hear(now, from, head, answers);
+                self.hear(now, from, head, Kind::Other);
                 self.on_relay(now, from, seq, &target);
             }
             MemberMessage::Relayed { seq, target, answer, .. } => {
-                self.hear(now, from, head, answers);
+                self.hear(now, from, head, Kind::Other);
                 let target = VmId { data_centre: from.data_centre.clone(), name: target };
                 self.on_relayed(now, &target, seq, answer);
             }
@@ -251,20 +265,24 @@
                 if me.vm(&from.data_centre) == *from {
                     self.take_updates(now, from, &[me]);
                 }
-                self.hear(now, from, head, answers);
+                self.hear(now, from, head, Kind::Other);
                 self.on_sync(now, from, &tables, answer);
             }
             MemberMessage::Table { updates, hold, .. } => {
                 self.take_updates(now, from, &updates);
-                self.hear(now, from, head, answers);
-                self.own.hold(now, hold, &self.limits);
+                self.hear(now, from, head, Kind::Other);
+                if from.data_centre == self.own.vm.data_centre {
+                    self.own.hold(now, hold, &self.limits);
+                }
             }
         }
     }
 
     /// Notes a direct message. A VM with a claim against it is told, so that it can refute.
-    fn hear(&mut self, now: Millis, from: &VmId, head: Head, answers: bool) {
+    fn hear(&mut self, now: Millis, from: &VmId, head: Head, kind: Kind) {
+        let (answers, pings) = (kind == Kind::Answer, kind == Kind::Ping);
         self.apply_head(now, from, head);
+        let resuming = self.is_resuming(now);
         let own_data_centre = from.data_centre == self.own.vm.data_centre;
         let Some(record) = self.table.records.get_mut(from) else {
             if own_data_centre && self.contacts.address(from).is_some() {
@@ -275,12 +293,12 @@
         if record.member.incarnation != head.incarnation {
             return;
         }
-        if answers || now >= self.grace_until {
+        if answers || !resuming {
             record.member.heard_at = record.member.heard_at.max(now);
             self.dirty = self.dirty.max(Dirty::Heard);
         }
         let claimed = own_data_centre && record.claim(&from.data_centre).is_some();
-        if claimed && answers {
+        if claimed && !pings {
             self.send_notice(from);
         }
     }
@@ -317,10 +335,10 @@
         }
         if vm == self.own.vm {
             self.take_claim(now, update);
-        } else if now < self.grace_until && matches!(update.claim, Claim::Suspect | Claim::Dead) {
+        } else if self.is_resuming(now) && matches!(update.claim, Claim::Suspect | Claim::Dead) {
             // The claim may have waited in a queue during the pause and be refuted since.
         } else if self.contradicts(now, &vm, update) {
-            self.doubt(now, &vm, update);
+            self.recheck(now, &vm, update);
         } else {
             self.apply(now, &vm, update);
         }
@@ -363,15 +381,16 @@
             Applied::Revision => record.update(reader, Claim::Revision(record.member.revision)),
             _ => record.claim(reader).unwrap_or_else(|| record.statement(reader)),
         };
-        // The revisions of VMs elsewhere matter to nobody here, and neither does what a joining VM learns.
-        let local = vm.data_centre == *reader;
-        let known = self.own.stated() == Stated::Joining
-            && !matches!(update.claim, Claim::Suspect | Claim::Dead);
-        if !known && (local || applied != Applied::Revision) {
+        // A joining VM learns the table from those who know it, and the revisions of VMs elsewhere matter to
+        // nobody here.
+        let claimed = matches!(update.claim, Claim::Suspect | Claim::Dead);
+        let learned = self.own.stated() == Stated::Joining && !claimed;
+        let elsewhere = vm.data_centre != *reader && applied == Applied::Revision;
+        if !learned && !elsewhere {
             self.spread(vm.clone(), passed_on);
         }
         if matches!(applied, Applied::Joined | Applied::Refuted | Applied::Died { .. }) {
-            self.acquit(vm);
+            self.clear_suspicion(vm);
         }
         self.report(vm, applied);
         applied
@@ -391,24 +410,38 @@
     }
 
     fn spread(&mut self, vm: VmId, update: Update) {
-        let members = self.table.live(&self.own.vm.data_centre).count() + 1;
+        let members = self.count();
         self.gossip.push(vm, update, members);
     }
 
+    /// Returns the count of live members of the data centre, this VM included.
+    pub(super) fn count(&self) -> usize {
+        self.table.live(&self.own.vm.data_centre).count() + 1
+    }
+
     /// Returns the claim of others about a VM.
     pub(super) fn claim_about(&self, vm: &VmId) -> Option<Update> {
         self.table.get(vm)?.claim(&self.own.vm.data_centre)
     }
 
-    /// Returns the updates for a message: the claim about its receiver first, so that it can refute.
+    /// Returns the updates for a message: the claim about its receiver first, so that it can refute, then
+    /// this VM's own statement when the receiver may not know it.
     pub(super) fn updates_for(&mut self, to: &VmId) -> Vec<Update> {
         let claim = self.claim_about(to);
-        let mut updates = self.gossip.take(self.limits.update_bytes);
-        updates.retain(|update| claim.as_ref() != Some(update));
-        claim.into_iter().chain(updates).collect()
+        let heard = self.table.get(to).is_some_and(|record| record.member.heard_at > Millis::ZERO);
+        let own = (!heard).then(|| self.own.statement());
+        let first: Vec<Update> = claim.into_iter().chain(own).collect();
+        let mut updates = self.gossip.take(self.limits.update_bytes(self.count()));
+        updates.retain(|update| !first.contains(update));
+        first.into_iter().chain(updates).collect()
     }
 
+    /// Sends a message, unless the addresses of the receiver are unknown.
     pub(super) fn send(&mut self, to: &VmId, message: MemberMessage) {
+        if self.address_of(to).is_none() {
+            self.counters.unaddressed += 1;
+            return;
+        }
         self.out.push(Event::Message(Outgoing::new(to.clone(), message)));
     }
 
@@ -447,6 +480,11 @@
     }
 
     fn build(&self, now: Millis) -> Members {
+        invariant!(
+            !self.table.records.contains_key(&self.own.vm),
+            "the table of others holds {} itself",
+            self.own.vm
+        );
         let (local, remote): (Vec<&Record>, Vec<&Record>) = self
             .table
             .records
@@ -455,14 +493,14 @@
         let shown = |record: &&&Record| {
             record.is_live() || now.since(record.since) < self.limits.dead_shown
         };
-        let free_held = self.free_held(&local);
+        let ignore_hold_down = self.ignore_hold_down(&local);
         let view = |record: &Record| {
             let held = record.stated == Stated::Held && record.is_live();
-            let state = if held && free_held { MemberState::Active } else { record.state() };
+            let state = if held && ignore_hold_down { MemberState::Active } else { record.state() };
             Member { state, ..record.member.clone() }
         };
         let mut list: Vec<Member> = local.iter().filter(shown).map(|record| view(record)).collect();
-        list.push(self.own_member(now, free_held));
+        list.push(self.own_member(now, ignore_hold_down));
         list.sort_by(|a, b| a.vm.cmp(&b.vm));
         let remote = remote.iter().filter(|record| record.is_live());
         let remote: Vec<Member> = remote
@@ -471,9 +509,9 @@
         Members::new(self.own.vm.clone(), list).with_remote(remote)
     }
 
-    fn own_member(&self, now: Millis, free_held: bool) -> Member {
+    fn own_member(&self, now: Millis, ignore_hold_down: bool) -> Member {
         let state = match self.own.stated() {
-            Stated::Held if free_held => MemberState::Active,
+            Stated::Held if ignore_hold_down => MemberState::Active,
             Stated::Joining | Stated::Held => MemberState::Joining,
             Stated::Active => MemberState::Active,
             Stated::Leaving => MemberState::Leaving,
@@ -491,7 +529,7 @@
 
     /// Tells whether hold-downs are void because they would leave a minority of members eligible, as after
     /// a link that flapped between two halves of the data centre.
-    fn free_held(&self, local: &[&Record]) -> bool {
+    fn ignore_hold_down(&self, local: &[&Record]) -> bool {
         let live = local.iter().filter(|record| record.is_live());
         let states = live.map(|record| record.stated).chain([self.own.stated()]);
         let (mut held, mut active) = (0, 0);
