Log the events of membership and reach other data centres through members

Change: one log event for each kind of membership event; the addresses of VMs of other data centres are taken from the members as well as from the platform's list, so that they are known while the platform is down; tests/keys.rs waits until both VMs are active, because a joining VM cannot be a successor.

--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -158,17 +158,33 @@
 
     fn take_events(&mut self, events: Vec<Event>) {
         for event in events {
-            if let Event::Changed(members) = event {
-                self.set_members(&members);
-            } else if let Event::Message(outgoing) = event {
-                self.peers.send(outgoing);
-            } else {
-                let finding = format!("{event:?}");
-                log::info!(event = "member_event", vm = self.vm.as_str(), finding = finding.as_str(); "membership reported a finding");
+            match event {
+                Event::Changed(members) => self.set_members(&members),
+                Event::Message(outgoing) => self.peers.send(outgoing),
+                Event::Suspected(member) => {
+                    self.log_member("member_suspected", &member, "a member does not answer");
+                }
+                Event::Died(member) => {
+                    self.log_member("member_died", &member, "a member was removed as dead");
+                }
+                Event::Joined(member) => {
+                    self.log_member("member_joined", &member, "a process joined");
+                }
+                Event::Left(member) => {
+                    self.log_member("member_left", &member, "a member ended its planned stop");
+                }
+                Event::Refuted(member) => {
+                    self.log_member("member_refuted", &member, "a suspected member is alive");
+                }
             }
         }
     }
 
+    fn log_member(&self, event: &str, member: &VmId, text: &str) {
+        let (member, revision) = (member.to_string(), self.revision().0);
+        log::info!(event = event, vm = self.vm.as_str(), member = member.as_str(), revision = revision; "{text}");
+    }
+
     fn set_members(&mut self, members: &Members) {
         let now = self.now();
         self.peers.set_members(members);
--- a/crates/jasminecart-entry/src/control/peers.rs
+++ b/crates/jasminecart-entry/src/control/peers.rs
@@ -24,14 +24,15 @@
         Peers { me, links, seeds, listed: BTreeMap::new(), members: BTreeMap::new() }
     }
 
-    /// Takes the platform's list. VMs of other data centres are known from it alone.
+    /// Takes the platform's list, which may lag behind what members say.
     pub(super) fn set_listed(&mut self, list: &[VmHint]) {
         self.listed = list.iter().map(|hint| (hint.vm.clone(), hint.address)).collect();
         self.close_unknown();
     }
 
+    /// Takes the members, with the VMs of other data centres that these have summarised.
     pub(super) fn set_members(&mut self, members: &Members) {
-        let peers = members.peers();
+        let peers = members.peers().chain(members.remote.iter());
         self.members = peers.map(|member| (member.vm.clone(), member.address)).collect();
         self.close_unknown();
     }
--- a/crates/jasminecart-entry/tests/keys.rs
+++ b/crates/jasminecart-entry/tests/keys.rs
@@ -6,8 +6,8 @@
 use http_body_util::Full;
 use jasminecart_entry::EntryHandle;
 use support::{
-    Answer, Platform, Script, Target, document, entry, eventually, exchange, issue_key, metric,
-    metric_reaches, request,
+    Answer, Platform, Script, Target, document, entry, eventually, exchange, get, issue_key,
+    metric, request,
 };
 use test_case::test_case;
 
@@ -30,7 +30,12 @@
     let b = entry("vm-2", platform, "").await;
     platform.list(&[&a, &b]);
     for entry in [&a, &b] {
-        metric_reaches(entry, "peer_server_received_messages_total", 1).await;
+        let operators = entry.addresses().operators;
+        // A VM that is still joining can't be the successor of the other.
+        eventually("both are active", || async {
+            get(operators, "/status").await.1.matches("\"state\":\"Active\"").count() == 2
+        })
+        .await;
     }
     (a, b)
 }
