Keep entries of present owners while other VMs join

A property test found that two owners dropped an entry because two joining VMs were to own it, and a flow went to its base target. Joining VMs also learn of closed and reopened flows.

--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -269,15 +269,17 @@
                 let age = Millis(u64::from(entry.age) * AGE_STEP.get());
                 let opened = Millis(now.get().saturating_sub(age.get()));
                 // An entry from before a pause may be outdated: other VMs were owners meanwhile.
+                let Some(state) = decode(entry.state) else { continue };
                 let keep = self.flows.get(now, flow).is_some_and(|own| {
                     let later = own.opened() + AGE_ERROR >= opened;
-                    let opens = own.state == State::HalfOpen && own.target == group.target;
-                    own.state != State::Hint
-                        && later
-                        && !opens
-                        && backlog.is_none_or(|end| own.opened() >= end)
+                    let early = backlog.is_some_and(|end| own.opened() < end);
+                    let same = own.opened() <= opened + AGE_ERROR && own.target == group.target;
+                    let advances = same && progress(state) > progress(own.state);
+                    own.state != State::Hint && later && !early && !advances
                 });
-                let Some(state) = decode(entry.state).filter(|_| !keep) else { continue };
+                if keep {
+                    continue;
+                }
                 if self.flows.insert(now, flow, group.target, state).is_ok() {
                     self.flows.set_transferred(flow, opened);
                     if entry.state & HINTED != 0 {
@@ -329,9 +331,12 @@
     /// addresses would not be noticed here.
     fn drop_foreign_entries(&mut self) {
         let owners = &self.owners;
-        self.flows.retain(|flow, entry| {
-            entry.state == State::Hint || owners.future(flow).contains(&owners.me())
-        });
+        let owns = |flow: u64| {
+            let [first, second, _] = owners.ranked(flow);
+            // While members join, the present owners still answer.
+            [first, second].contains(&owners.me()) || owners.future(flow).contains(&owners.me())
+        };
+        self.flows.retain(|flow, entry| entry.state == State::Hint || owns(flow));
         self.foreign_dropped = true;
     }
 }
@@ -360,6 +365,16 @@
     }
 }
 
+/// Orders the states of one flow in time.
+fn progress(state: State) -> u8 {
+    match state {
+        State::Hint => 0,
+        State::HalfOpen => 1,
+        State::Established | State::Datagram => 2,
+        State::Closing => 3,
+    }
+}
+
 fn decode(state: u8) -> Option<State> {
     match state & !HINTED {
         0 => Some(State::HalfOpen),
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -189,8 +189,12 @@
             }
             return self.decide(now, cx);
         }
+        let known = self.known(now, cx);
+        if let Some(own) = known.filter(|own| own.is_opening(now) && !self.is_doubtful(now, own)) {
+            return Verdict::Pass { to: cx.rank[0], target: own.target, record: true };
+        }
         // The owner may decide otherwise than for an earlier flow of the same addresses.
-        if self.known(now, cx).is_some_and(|own| own.state == State::Hint || !self.is_owner(cx)) {
+        if known.is_some_and(|own| own.state == State::Hint || !self.is_owner(cx)) {
             self.flows.remove(cx.flow);
         }
         Verdict::Pass { to: cx.rank[0], target: 0, record: false }
@@ -230,6 +234,7 @@
         }
         // Where a hint is held, the packets after the SYN do not come here.
         let state = if hinted { State::Established } else { State::HalfOpen };
+        let replaces = self.flows.get(now, cx.flow).is_some();
         if self.flows.insert(now, cx.flow, target, state).is_err() {
             let Some((_, false)) = base else { return Verdict::Drop(DropReason::TableFull) };
             self.counters.unrecorded += 1;
@@ -238,7 +243,9 @@
         if hinted {
             self.flows.set_hinted(cx.flow);
             self.repair_owners(cx);
-            self.tell_joining(cx, state);
+        }
+        if replaces || hinted {
+            self.tell_joining(cx);
         }
         self.pass_to_second(cx, target)
     }
@@ -305,7 +312,9 @@
             }
             _ => {}
         }
-        self.tell_joining(cx, state);
+        if state != State::HalfOpen {
+            self.tell_joining(cx);
+        }
         if self.slot(cx, target).is_some() {
             return Verdict::Deliver(target);
         }
@@ -365,6 +374,7 @@
         }
         if closes {
             self.flows.set_state(now, cx.flow, State::Closing);
+            self.tell_joining(cx);
             if entry.hinted && first {
                 self.forget_draining(now, cx, target);
             }
@@ -376,7 +386,7 @@
                 _ => State::Established,
             };
             self.flows.set_state(now, cx.flow, state);
-            self.tell_joining(cx, state);
+            self.tell_joining(cx);
         }
         if closes || opens {
             if first {
@@ -442,7 +452,7 @@
             entry.hinted = true;
         }
         if state != State::Hint {
-            self.tell_joining(cx, state);
+            self.tell_joining(cx);
         }
         if !self.is_first(cx) {
             return Verdict::Deliver(target);
@@ -686,11 +696,8 @@
         }
     }
 
-    /// Gives an established flow to members that will own it after joining.
-    fn tell_joining(&mut self, cx: &Context, state: State) {
-        if state == State::HalfOpen {
-            return;
-        }
+    /// Gives an entry to members that will own it after joining.
+    fn tell_joining(&mut self, cx: &Context) {
         for owner in self.owners.future(cx.flow) {
             let joining = self.owners.get(owner).filter(|peer| peer.state == MemberState::Joining);
             if let Some(vm) = joining.map(|peer| peer.vm.clone()) {
--- a/crates/jasminecart-core/tests/flow_random.rs
+++ b/crates/jasminecart-core/tests/flow_random.rs
@@ -148,3 +148,15 @@
         }
     }
 }
+
+// Guards against present owners that drop an entry because joining VMs will own it.
+#[test]
+fn two_vms_that_join_at_once_break_no_flow() {
+    let mut world = World::new();
+    let steps =
+        [Step::Drain(3), Step::Wait(900), Step::Open(6), Step::Join, Step::Join, Step::Open(5)];
+    for step in &steps {
+        world.apply(step);
+        world.check();
+    }
+}
