Count forwarded packets of stopped VMs in the case flows

The share of forwarded packets fell to 0 in steps in which a VM stopped, because its counter left the sum.

--- a/crates/jasminecart-bench/src/flows/mod.rs
+++ b/crates/jasminecart-bench/src/flows/mod.rs
@@ -96,8 +96,6 @@
     deaths: Tally,
     worst_imbalance: [f64; 3],
     imbalance_lost: Vec<String>,
-    forwarded: u64,
-    delivered: u64,
 }
 
 impl Results {
@@ -106,15 +104,12 @@
         let imbalance = [network.imbalance(0), network.imbalance(1)];
         let totals = network.routers().map(|router| {
             let counters = router.measure();
-            (counters.to_peers, counters.to_targets, counters.entries, counters.unsettled_buckets)
+            (counters.entries, counters.unsettled_buckets)
         });
-        let totals: Vec<(u64, u64, u64, u64)> = totals.collect();
-        let forwarded: u64 = totals.iter().map(|total| total.0).sum();
-        let delivered: u64 = totals.iter().map(|total| total.1).sum();
-        let entries: u64 = totals.iter().map(|total| total.2).sum();
-        let unsettled = totals.first().map_or(0, |total| total.3);
-        let share = forwarded.saturating_sub(self.forwarded) as f64 / tally.packets.max(1) as f64;
-        (self.forwarded, self.delivered) = (forwarded, delivered);
+        let totals: Vec<(u64, u64)> = totals.collect();
+        let entries: u64 = totals.iter().map(|total| total.0).sum();
+        let unsettled = totals.first().map_or(0, |total| total.1);
+        let share = tally.forwarded as f64 / tally.packets.max(1) as f64;
         self.table.push(format!(
             "{name:<44} {:>8} {:>7} {:>7} {:>7}   {:.3} {:.3} {:.3}   {:.3} {:.3} {:.3}   {share:>5.2} \
              {entries:>8} {unsettled:>5}",
@@ -133,7 +128,7 @@
             "step": name, "packets": tally.packets, "broken": tally.broken,
             "broken_ring": tally.ring_broken, "broken_table": tally.table_broken,
             "imbalance_ledger": imbalance[0], "imbalance_intake": imbalance[1],
-            "forwards_per_packet": share, "entries": entries, "unsettled": unsettled,
+            "forwarded": tally.forwarded, "forwards_per_packet": share, "entries": entries, "unsettled": unsettled,
             "opened": tally.opened, "to_drained": tally.to_drained,
         }));
         for (service, values) in network::SERVICES.iter().zip(imbalance) {
--- a/crates/jasminecart-bench/src/flows/network.rs
+++ b/crates/jasminecart-bench/src/flows/network.rs
@@ -144,6 +144,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Tally {
     pub(super) packets: u64,
+    pub(super) forwarded: u64,
     pub(super) broken: u64,
     pub(super) ring_broken: u64,
     pub(super) table_broken: u64,
@@ -715,6 +716,7 @@
             }
             Route::Peer { vm, header, .. } => {
                 let Some(to) = self.vms.iter().position(|other| other.id == vm) else { return };
+                self.tally.forwarded += 1;
                 let delay = self.rng.random_range(1..=2);
                 let at = to as u8;
                 let header = Some(header);
--- a/crates/jasminecart-core/src/flow/packet.rs
+++ b/crates/jasminecart-core/src/flow/packet.rs
@@ -53,9 +53,10 @@
     pub hops: u8,
     /// The identity of the VM that received the packet from the fabric, as [`crate::flow::vm_hash`].
     pub entry: u64,
-    /// The target that the first owner decided on, as its key in the document, or 0.
+    /// The key of the target that an owner decided on, or that the sender holds a hint for, or 0.
     pub target: u64,
-    /// Whether the target in this header is to be recorded by the receiver, which is the second owner.
+    /// Whether the receiver has to record the target, as an owner. With a target of 0 it has to decide in
+    /// place of the first owner, which is not fresh.
     pub record: bool,
 }
 
