Run two services with a shared target in the randomised test

Cause: the randomised run had one service, so it could not see a request that reaches a target of another service (I2).

Change: a target of the randomised run serves two services, and the simulated world checks the service of every request it sends.

--- a/crates/jasminecart-core/tests/request/random.rs
+++ b/crates/jasminecart-core/tests/request/random.rs
@@ -12,6 +12,16 @@
 
 const NODES: usize = 4;
 const TARGETS: usize = 5;
+/// The last target serves two services, the others one.
+const INTAKE: &str = "\
+[service intake]
+class = uploads
+shed_status = 503
+[target t4]
+service = ledger, intake
+data_centre = dc
+address = 10.0.1.4:80
+";
 
 struct Run {
     world: World,
@@ -24,8 +34,9 @@
 impl Run {
     fn new(seed: u64) -> Run {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let world = World::new(NODES, TARGETS);
-        Run { world, rng, keys: Vec::new(), recent: Vec::new(), revision: 1 }
+        let mut world = World::new(NODES, TARGETS);
+        world.set_document(document(2, TARGETS - 1, INTAKE));
+        Run { world, rng, keys: Vec::new(), recent: Vec::new(), revision: 2 }
     }
 
     fn chance(&mut self, percent: u32) -> bool {
@@ -86,6 +97,7 @@
         let (idempotent, repeatable) = (self.chance(40), self.chance(70));
         let class = Name::new(if self.chance(50) { "claims" } else { "uploads" });
         let tenant = Name::new(if self.chance(10) { "flood" } else { "someone" });
+        let service = Name::new(if self.chance(20) { "intake" } else { "ledger" });
         let with_key = self.chance(40) && !self.keys.is_empty();
         let last = self.keys.len().min(8);
         let chosen = self.keys.len() - last + self.rng.random_range(0..last.max(1));
@@ -93,7 +105,7 @@
         let for_ms = self.rng.random_range(1..3_000);
         let request = self.world.submit(index, for_ms, |m| {
             (m.idempotent, m.repeatable, m.key) = (idempotent, repeatable, key);
-            (m.class, m.tenant) = (class, tenant);
+            (m.class, m.tenant, m.service) = (class, tenant, service);
         });
         self.recent.push((index, request));
     }
@@ -117,8 +129,8 @@
 
     fn change_document(&mut self) {
         self.revision += 1;
-        let targets = self.rng.random_range(2..=TARGETS);
-        self.world.set_document(document(self.revision, targets, ""));
+        let targets = self.rng.random_range(1..TARGETS);
+        self.world.set_document(document(self.revision, targets, INTAKE));
     }
 
     /// Ends all faults, lets every request end and checks the world.
--- a/crates/jasminecart-core/tests/request/world.rs
+++ b/crates/jasminecart-core/tests/request/world.rs
@@ -298,6 +298,9 @@
             match action {
                 Action::Send { request, attempt, target, deadline, .. } => {
                     assert!(deadline > Millis(self.now), "sent after the deadline");
+                    let service = &self.metas[&request].service;
+                    let served = self.document.targets()[&target].serves(service);
+                    assert!(served, "I2: {target} does not serve {service}");
                     self.nodes[index].sent.insert(attempt, target.clone());
                     let arrive = Event::Arrive { target, node: index, start, attempt, request };
                     self.at(self.now + 1, arrive);
