--- a/crates/jasminecart-bench/src/requests.rs
+++ b/crates/jasminecart-bench/src/requests.rs
@@ -198,12 +198,14 @@
         let f = &row.figures;
         let a_request = |count: u64| count as f64 / f.offered.max(1) as f64;
         format!(
-            "control at {:>3.0} % load: {:.1} messages and {:.0} bytes a request, {:.0} bytes/s a VM; \
+            "control at {:>3.0} % load: {:.1} messages and {:.0} bytes a request, {:.0} bytes/s a VM, \
+             {:.0} at most; \
              {} grants, {} returned, {} slots reused, {} hedges, {} retries",
             row.load * 100.0,
             a_request(f.messages),
             a_request(f.bytes),
             f.bytes as f64 / f.seconds / 9.0,
+            f.most_bytes as f64 / f.seconds,
             f.counters.grants,
             f.counters.grants_returned,
             f.counters.reused,
@@ -234,5 +236,6 @@
         "direct": f.counters.direct,
         "messages": f.messages,
         "bytes": f.bytes,
+        "most_bytes_of_a_vm": f.most_bytes,
     })
 }
--- a/crates/jasminecart-bench/src/requests/sim.rs
+++ b/crates/jasminecart-bench/src/requests/sim.rs
@@ -162,6 +162,8 @@
     pub(super) slot_use: f64,
     pub(super) messages: u64,
     pub(super) bytes: u64,
+    /// The bytes sent by the VM that sent most.
+    pub(super) most_bytes: u64,
     pub(super) seconds: f64,
     pub(super) counters: DispatchCounters,
     /// Refusals by reason.
@@ -183,7 +185,7 @@
     messages: Vec<Option<RequestMessage>>,
     message_count: u64,
     reasons: BTreeMap<String, u64>,
-    bytes: u64,
+    bytes: [u64; VM_SIZES.len()],
 }
 
 fn vm_id(index: usize) -> VmId {
@@ -235,7 +237,7 @@
             messages: Vec::new(),
             message_count: 0,
             reasons: BTreeMap::new(),
-            bytes: 0,
+            bytes: [0; VM_SIZES.len()],
         };
         sim.at(1, Event::Arrival);
         if matches!(scenario.fault, Fault::Flood { .. }) {
@@ -530,7 +532,7 @@
         if (self.scenario.from..self.scenario.until).contains(&self.now) {
             self.message_count += 1;
             let size = postcard::to_allocvec(&message).map_or(0, |bytes| bytes.len());
-            self.bytes += size as u64;
+            self.bytes[from] += size as u64;
         }
         let PeerMessage::Request(message) = message else { return };
         let Some(to) = (0..VM_SIZES.len()).find(|index| vm_id(*index) == *to) else { return };
@@ -570,7 +572,8 @@
         let busy: u64 = self.targets.iter().map(|target| target.busy_ms).sum();
         figures.slot_use = busy as f64 / (span * (TARGETS * SLOTS) as u64) as f64;
         figures.reasons = self.reasons;
-        (figures.messages, figures.bytes) = (self.message_count, self.bytes);
+        (figures.messages, figures.bytes) = (self.message_count, self.bytes.iter().sum());
+        figures.most_bytes = self.bytes.into_iter().max().unwrap_or(0);
         for dispatcher in &self.dispatchers {
             let c = dispatcher.counters();
             figures.counters.retries += c.retries;
