--- a/crates/jasminecart-core/src/request/asks.rs
+++ b/crates/jasminecart-core/src/request/asks.rs
@@ -6,8 +6,9 @@
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 
-/// A wish is renewed this often while requests wait.
-pub(super) const RENEW: Millis = Millis(250);
+/// A wish is renewed this often while requests wait. With 250 ms, the VM that sends most sent 4,861 instead of
+/// 3,837 bytes/s of control messages at 120 % load.
+pub(super) const RENEW: Millis = Millis(500);
 /// What a home said about a rival is trusted for as long as the rival had waited, within these bounds:
 /// the longer the oldest request of a VM waits, the slower its queue changes.
 const RIVAL_LIFETIME: std::ops::RangeInclusive<u64> = 20..=500;
--- a/crates/jasminecart-core/src/request/homes.rs
+++ b/crates/jasminecart-core/src/request/homes.rs
@@ -7,7 +7,7 @@
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 
-/// A wish that is not renewed lapses, so that a dead VM gets no slots. VMs renew every 250 ms.
+/// A wish that is not renewed lapses, so that a dead VM gets no slots. VMs renew every 500 ms.
 const WISH_LIFETIME: Millis = Millis(1_000);
 /// A new home first listens this long to the VMs that already use slots of the target.
 const LISTEN: Millis = Millis(50);
