--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -397,7 +397,9 @@
             }
         }
         // Only the first owner gives hints, because it has to know of them when the addresses are reused.
-        if first && entry.state != State::Closing && !closes {
+        // A half-open entry would not outlive them.
+        let lasts = matches!(entry.state, State::Established | State::Datagram);
+        if first && lasts && !closes {
             self.hint(now, cx, target);
         }
         if !first && !cx.unasked && cx.header.target == 0 {
