Confirm transfers of flow entries and revocations of hints

Change: a transfer has a sequence number and is sent again until it is confirmed. When a flow is decided again and its former target drains, the first owner drops the SYN until every peer has confirmed that its hint is gone, for at most 3 s; TCP sends the SYN again after 1 s.

Ruled out: dropping packets of unknown flows for 45 s after the loss of two owners.

--- a/crates/jasminecart-core/src/flow/exchange.rs
+++ b/crates/jasminecart-core/src/flow/exchange.rs
@@ -36,8 +36,14 @@
                 if self.flows.get(now, flow).is_some_and(|entry| entry.state == State::Hint) {
                     self.flows.remove(flow);
                 }
+                self.send(from, FlowMessage::Forgotten { flow });
             }
-            FlowMessage::Transfer { groups } => self.take_entries(now, &groups),
+            FlowMessage::Forgotten { flow } => self.revocations.confirm(flow, from),
+            FlowMessage::Transfer { sequence, groups } => {
+                self.take_entries(now, &groups);
+                self.send(from, FlowMessage::Received { sequence });
+            }
+            FlowMessage::Received { sequence } => self.transfers.confirm(from, sequence),
             FlowMessage::TransferDone { epoch } => {
                 // What waited during a pause tells of the owners before it.
                 if !self.freshness.reads_backlog(now) {
@@ -66,11 +72,13 @@
                 counters.hints += 1;
                 counters.hint_bytes += bytes;
             }
-            FlowMessage::Forget { .. } => {
+            FlowMessage::Forget { .. } | FlowMessage::Forgotten { .. } => {
                 counters.forgets += 1;
                 counters.hint_bytes += bytes;
             }
-            FlowMessage::Transfer { .. } => counters.planned_bytes += bytes,
+            FlowMessage::Transfer { .. } | FlowMessage::Received { .. } => {
+                counters.planned_bytes += bytes;
+            }
             FlowMessage::Generations { .. } if joins => counters.planned_bytes += bytes,
             FlowMessage::TransferDone { .. }
             | FlowMessage::Digest { .. }
@@ -150,8 +158,9 @@
             let entry = flows.get(now, flow).filter(|entry| entry.state != State::Hint)?;
             Some((entry.target, encode(now, flow, entry)))
         };
-        let planned = self.transfers.send(Cause::Planned, &mut self.planned_budget, read);
-        let repairs = self.transfers.send(Cause::Repair, &mut self.repair_budget, read);
+        self.transfers.repeat(now);
+        let planned = self.transfers.send(now, Cause::Planned, &mut self.planned_budget, read);
+        let repairs = self.transfers.send(now, Cause::Repair, &mut self.repair_budget, read);
         self.counters.planned_bytes += bytes(&planned);
         self.counters.repair_bytes += bytes(&repairs);
         self.outbox.extend(planned.into_iter().chain(repairs));
--- a/crates/jasminecart-core/src/flow/messages.rs
+++ b/crates/jasminecart-core/src/flow/messages.rs
@@ -27,6 +27,8 @@
     },
     /// Hands entries to an owner, grouped by target.
     Transfer {
+        /// The number of the message, which the receiver confirms.
+        sequence: u32,
         /// The groups.
         groups: Vec<TransferGroup>,
     },
@@ -55,6 +57,16 @@
         /// Whether the receiver has to answer with what the sender lacks.
         ask: bool,
     },
+    /// Confirms a [`FlowMessage::Transfer`].
+    Received {
+        /// The number of the message.
+        sequence: u32,
+    },
+    /// Confirms a [`FlowMessage::Forget`].
+    Forgotten {
+        /// The hash of the flow.
+        flow: u64,
+    },
 }
 
 /// Entries of one target.
@@ -111,10 +123,13 @@
         FRAME
             + match self {
                 FlowMessage::Hint { .. } => 20,
-                FlowMessage::Forget { .. } | FlowMessage::TransferDone { .. } => 10,
+                FlowMessage::Forget { .. }
+                | FlowMessage::Forgotten { .. }
+                | FlowMessage::TransferDone { .. } => 10,
+                FlowMessage::Received { .. } => 5,
                 FlowMessage::Digest { .. } => 17,
-                FlowMessage::Transfer { groups } => {
-                    groups.iter().map(|group| 12 + 11 * group.entries.len()).sum()
+                FlowMessage::Transfer { groups, .. } => {
+                    5 + groups.iter().map(|group| 12 + 11 * group.entries.len()).sum::<usize>()
                 }
                 FlowMessage::Generations { services, .. } => {
                     services.iter().map(ServiceGenerations::wire_bytes).sum()
--- a/crates/jasminecart-core/src/flow/mod.rs
+++ b/crates/jasminecart-core/src/flow/mod.rs
@@ -14,6 +14,7 @@
 mod messages;
 mod owners;
 mod packet;
+mod revocations;
 mod router;
 mod rules;
 mod table;
--- a/crates/jasminecart-core/src/flow/router.rs
+++ b/crates/jasminecart-core/src/flow/router.rs
@@ -11,6 +11,7 @@
 use super::messages::GenerationTarget;
 use super::owners::Owners;
 use super::packet::FlowKey;
+use super::revocations::Revocations;
 use super::table::bucket_of;
 use super::transfers::{Budget, Transfers};
 use super::types::{FlowCounters, FlowExplanation, FlowLimits};
@@ -63,6 +64,7 @@
     pub(super) flows: Exceptions,
     pub(super) fragments: Fragments,
     pub(super) transfers: Transfers,
+    pub(super) revocations: Revocations,
     pub(super) hint_budget: Budget,
     pub(super) repair_budget: Budget,
     pub(super) planned_budget: Budget,
@@ -105,6 +107,7 @@
             flows: Exceptions::new(limits.max_exceptions.max(1)),
             fragments: Fragments::default(),
             transfers: Transfers::default(),
+            revocations: Revocations::default(),
             hint_budget: Budget::new(HINT_RATE),
             repair_budget: Budget::new(REPAIR_RATE),
             planned_budget: Budget::new(PLANNED_RATE),
--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -217,8 +217,9 @@
         let Some(target) = kept.map(|entry| entry.target).or(current) else {
             return Verdict::Drop(DropReason::NoTarget);
         };
-        if kept.is_none() && known.is_some_and(|own| own.hinted || own.state == State::Hint) {
-            self.forget(now, cx.flow);
+        let hinted = known.is_some_and(|own| own.hinted || own.state == State::Hint);
+        if kept.is_none() && hinted && !self.hints_revoked(now, cx.flow) {
+            return Verdict::Drop(DropReason::Revoking);
         }
         self.counters.decided += 1;
         self.place(now, cx, target, kept.is_some())
@@ -556,6 +557,7 @@
                     DropReason::TableFull => counters.dropped_table_full += 1,
                     DropReason::NoFragment => counters.dropped_no_fragment += 1,
                     DropReason::Backlog => counters.dropped_backlog += 1,
+                    DropReason::Revoking => counters.dropped_revoking += 1,
                     DropReason::NoDocument | DropReason::NoTarget => {}
                 }
             }
@@ -656,13 +658,18 @@
 
     /// Revokes the hints for a flow that was decided again.
     fn forget(&mut self, now: Millis, flow: u64) {
-        if let Some(entry) = self.flows.touch(now, flow) {
-            entry.hinted = false;
-        }
-        let peers: Vec<_> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
-        for vm in peers {
-            self.send_forget(&vm, flow);
+        self.hints_revoked(now, flow);
+    }
+
+    /// Revokes the hints for a flow. Returns whether every peer has confirmed, or the wait for it is over.
+    /// Until then a SYN is dropped, and its client repeats it.
+    fn hints_revoked(&mut self, now: Millis, flow: u64) -> bool {
+        let peers: Vec<VmId> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
+        let waiting = self.revocations.revoke(now, flow, peers);
+        for vm in &waiting {
+            self.send_forget(vm, flow);
         }
+        waiting.is_empty()
     }
 
     /// Revokes the hints for a flow that closes on a draining target, because the next flow of the same
--- a/crates/jasminecart-core/src/flow/types.rs
+++ b/crates/jasminecart-core/src/flow/types.rs
@@ -60,6 +60,8 @@
     NoFragment,
     /// The packet waited while this process was paused.
     Backlog,
+    /// The target of a flow with the same addresses drains, and hints to it are being revoked.
+    Revoking,
 }
 
 /// Why a flow goes where it goes, for operators.
@@ -90,6 +92,8 @@
     pub dropped_no_fragment: u64,
     /// Packets dropped because they waited while this process was paused.
     pub dropped_backlog: u64,
+    /// SYNs dropped while hints for an earlier flow were being revoked.
+    pub dropped_revoking: u64,
     /// New flows decided by this VM as an owner.
     pub decided: u64,
     /// New flows that went to the base target unrecorded because the table was full.
