--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -365,8 +365,12 @@
             return self.hinted_flow(now, cx, entry, closes);
         }
         // The owners may have decided again since this VM was one of them.
-        if !owner && cx.header.hops <= 1 && self.is_answering(cx.rank[0]) {
-            return ask_first;
+        // When the first one is lost, the second one knows.
+        if !owner && cx.header.hops <= 1 {
+            let answering = cx.rank[..2].iter().find(|owner| self.is_answering(**owner));
+            if let Some(to) = answering.copied() {
+                return Verdict::Pass { to, target, record: false };
+            }
         }
         // The next flow of the same addresses may have been opened at an owner that is unknown here.
         let closed = entry.state == State::Closing && !closes && !first;
