--- a/crates/jasminecart-core/src/process/detect.rs
+++ b/crates/jasminecart-core/src/process/detect.rs
@@ -308,6 +308,11 @@
         self.detector.probes.retain(|_, probe| probe.target != *vm);
     }
 
+    /// Tells whether a probe waits for its answer. A pause of this process ends all probes.
+    pub(super) fn is_open(&self, seq: u32) -> bool {
+        self.detector.probes.contains_key(&seq)
+    }
+
     /// Takes the answer to a probe, which may have been relayed for another member.
     pub(super) fn on_ack(&mut self, from: &VmId, seq: u32, answer: Head) {
         if self.detector.probes.get(&seq).is_some_and(|probe| probe.target == *from) {
--- a/crates/jasminecart-core/src/process/membership.rs
+++ b/crates/jasminecart-core/src/process/membership.rs
@@ -8,10 +8,10 @@
 use super::exchange::Schedule;
 use super::gossip::Gossip;
 use super::limits::{MemberCounters, MemberLimits};
-use super::members::{Member, MemberState, Members, PeerAddress, VmHint};
+use super::members::{Member, Members, PeerAddress, VmHint};
 use super::own::Own;
 use super::rendezvous;
-use super::table::{Applied, Record, Table};
+use super::table::{Applied, Table};
 use super::wire::{Claim, Head, MemberMessage, Stated, Update};
 use crate::invariant;
 use crate::message::Outgoing;
@@ -49,8 +49,10 @@
 enum Kind {
     /// It gets an answer, which carries a claim about the sender.
     Ping,
-    /// It answers a message of this VM and is therefore recent.
+    /// It answers an open probe of this VM and is therefore recent.
     Answer,
+    /// It answers an earlier message, which told the sender of any claim.
+    OldAnswer,
     Other,
 }
 
@@ -248,7 +250,8 @@
             }
             MemberMessage::Ack { seq, updates, .. } => {
                 self.take_updates(now, from, &updates);
-                self.hear(now, from, head, Kind::Answer);
+                let kind = if self.is_open(seq) { Kind::Answer } else { Kind::OldAnswer };
+                self.hear(now, from, head, kind);
                 self.on_ack(from, seq, head);
             }
             MemberMessage::Relay { seq, target, updates, .. } => {
@@ -280,9 +283,8 @@
 
     /// Notes a direct message. A VM with a claim against it is told, so that it can refute.
     fn hear(&mut self, now: Millis, from: &VmId, head: Head, kind: Kind) {
-        let (answers, pings) = (kind == Kind::Answer, kind == Kind::Ping);
         self.apply_head(now, from, head);
-        let resuming = self.is_resuming(now);
+        let recent = kind == Kind::Answer || !self.is_resuming(now);
         let own_data_centre = from.data_centre == self.own.vm.data_centre;
         let Some(record) = self.table.records.get_mut(from) else {
             if own_data_centre && self.contacts.address(from).is_some() {
@@ -293,12 +295,12 @@
         if record.member.incarnation != head.incarnation {
             return;
         }
-        if answers || !resuming {
+        if recent {
             record.member.heard_at = record.member.heard_at.max(now);
             self.dirty = self.dirty.max(Dirty::Heard);
         }
         let claimed = own_data_centre && record.claim(&from.data_centre).is_some();
-        if claimed && !pings {
+        if claimed && kind == Kind::Other {
             self.send_notice(from);
         }
     }
@@ -478,65 +480,4 @@
             }
         }
     }
-
-    fn build(&self, now: Millis) -> Members {
-        invariant!(
-            !self.table.records.contains_key(&self.own.vm),
-            "the table of others holds {} itself",
-            self.own.vm
-        );
-        let (local, remote): (Vec<&Record>, Vec<&Record>) = self
-            .table
-            .records
-            .values()
-            .partition(|record| record.member.vm.data_centre == self.own.vm.data_centre);
-        let shown = |record: &&&Record| {
-            record.is_live() || now.since(record.since) < self.limits.dead_shown
-        };
-        let ignore_hold_down = self.ignore_hold_down(&local);
-        let view = |record: &Record| {
-            let held = record.stated == Stated::Held && record.is_live();
-            let state = if held && ignore_hold_down { MemberState::Active } else { record.state() };
-            Member { state, ..record.member.clone() }
-        };
-        let mut list: Vec<Member> = local.iter().filter(shown).map(|record| view(record)).collect();
-        list.push(self.own_member(now, ignore_hold_down));
-        list.sort_by(|a, b| a.vm.cmp(&b.vm));
-        let remote = remote.iter().filter(|record| record.is_live());
-        let remote: Vec<Member> = remote
-            .map(|record| Member { state: record.state(), ..record.member.clone() })
-            .collect();
-        Members::new(self.own.vm.clone(), list).with_remote(remote)
-    }
-
-    fn own_member(&self, now: Millis, ignore_hold_down: bool) -> Member {
-        let state = match self.own.stated() {
-            Stated::Held if ignore_hold_down => MemberState::Active,
-            Stated::Joining | Stated::Held => MemberState::Joining,
-            Stated::Active => MemberState::Active,
-            Stated::Leaving => MemberState::Leaving,
-        };
-        Member {
-            vm: self.own.vm.clone(),
-            incarnation: self.own.incarnation,
-            state,
-            size: self.own.size,
-            address: self.own.address,
-            revision: self.own.revision,
-            heard_at: now,
-        }
-    }
-
-    /// Tells whether hold-downs are void because they would leave a minority of members eligible, as after
-    /// a link that flapped between two halves of the data centre.
-    fn ignore_hold_down(&self, local: &[&Record]) -> bool {
-        let live = local.iter().filter(|record| record.is_live());
-        let states = live.map(|record| record.stated).chain([self.own.stated()]);
-        let (mut held, mut active) = (0, 0);
-        for stated in states {
-            held += usize::from(stated == Stated::Held);
-            active += usize::from(stated == Stated::Active);
-        }
-        held > active
-    }
 }
--- a/crates/jasminecart-core/src/process/mod.rs
+++ b/crates/jasminecart-core/src/process/mod.rs
@@ -8,6 +8,7 @@
 mod members;
 mod membership;
 mod own;
+mod publish;
 pub(crate) mod rendezvous;
 mod table;
 mod wire;
--- a/crates/jasminecart-core/tests/membership.rs
+++ b/crates/jasminecart-core/tests/membership.rs
@@ -2,10 +2,13 @@
 
 mod membership_net;
 
-use jasminecart_core::Millis;
 use jasminecart_core::invariant;
-use jasminecart_core::process::{Event, MemberLimits, MemberState, VmHint};
+use jasminecart_core::process::{
+    Claim, Event, Head, MemberLimits, MemberMessage, MemberState, Membership, Stated, Update,
+    VmHint,
+};
 use jasminecart_core::version::Revision;
+use jasminecart_core::{Incarnation, Millis, PeerMessage};
 use test_case::test_case;
 
 use self::membership_net::{Net, START, address, hint, new_membership, vm};
@@ -133,6 +136,59 @@
     assert_eq!(heard, after);
 }
 
+// Guards against an answer to a probe from before a pause that counts as heard after it.
+#[test]
+fn an_answer_from_before_a_pause_does_not_count_as_heard() {
+    let mut net = Net::new(0..2, 19);
+    let mut membership = net.vms.remove(&0).unwrap();
+    let now = net.now + Millis(500);
+    let events = membership.tick(now);
+    let ping = events.iter().find_map(|event| match event {
+        Event::Message(outgoing) => match &outgoing.message {
+            PeerMessage::Member(ping @ MemberMessage::Ping { .. }) => Some(ping.clone()),
+            _ => None,
+        },
+        _ => None,
+    });
+    let ping = ping.expect("a probe is due every 400 ms");
+    let heard = |membership: &Membership| membership.members().get(&vm(1)).unwrap().heard_at;
+    let before = heard(&membership);
+    let head = net.vms[&1].members().get(&vm(1)).unwrap().incarnation;
+    let MemberMessage::Ping { seq, head: asked, .. } = ping else { unreachable!() };
+    let head = Head { incarnation: head, ..asked };
+    let ack = MemberMessage::Ack { seq, head, updates: Vec::new() };
+    membership.tick(now + Millis(10_000));
+    membership.on_message(now + Millis(10_001), &vm(1), ack);
+    membership.tick(now + Millis(10_200));
+    assert_eq!(heard(&membership), before);
+}
+
+// Guards against two VMs that answer each other without end about a claim that cannot be refuted.
+#[test]
+fn a_claim_that_is_not_refuted_causes_no_stream_of_messages() {
+    let mut membership = new_membership(0, 2, &[1]);
+    let head = Head {
+        incarnation: Incarnation(5),
+        counter: u32::MAX,
+        stated: Stated::Active,
+        revision: Revision(0),
+    };
+    let address = address(1);
+    let state = Claim::State { stated: Stated::Active, size: 1, address, revision: Revision(0) };
+    let update = |claim| Update {
+        data_centre: None,
+        name: vm(1).name,
+        incarnation: Incarnation(5),
+        counter: u32::MAX,
+        claim,
+    };
+    let updates = vec![update(state), update(Claim::Suspect)];
+    membership.on_message(START, &vm(1), MemberMessage::Ping { seq: 1, head, updates });
+    let ack = MemberMessage::Ack { seq: 999, head, updates: Vec::new() };
+    let events = membership.on_message(START, &vm(1), ack);
+    assert!(!events.iter().any(|event| matches!(event, Event::Message(_))), "{events:?}");
+}
+
 // Guards against a cut-off VM that empties its list, and against forgotten seeds (section 9).
 #[test]
 fn a_loss_of_all_links_empties_no_list() {
