--- a/crates/jasminecart-bench/src/capacity/limits.rs
+++ b/crates/jasminecart-bench/src/capacity/limits.rs
@@ -12,8 +12,10 @@
 pub(super) const TARGETS: f64 = 3_400.0;
 /// 9.1 million open flows over 630 nodes.
 const FLOWS_PER_NODE: f64 = 9_100_000.0 / 630.0;
-/// 25,000 new flows a second over 630 nodes, each with about 20 packets a second while it is open.
+/// 25,000 new flows a second over 630 nodes.
 const NEW_FLOWS_PER_NODE: f64 = 25_000.0 / 630.0;
+/// Packets that a client sends over a flow, as a short request over HTTP does.
+const PACKETS_PER_FLOW: f64 = 20.0;
 /// 700 changes a day, all in the busiest tenth of it.
 const CHANGES_PER_MINUTE: f64 = 700.0 / (24.0 * 60.0) * 10.0;
 /// About 110 bytes a target and 45 a service.
@@ -30,6 +32,8 @@
 /// 19 deaths a day spread over a day are below 1 byte a second, so the peak after one death counts, which
 /// is paced to this rate.
 const REPAIR_BYTES: f64 = 2_000.0;
+/// The budget of hints, which are paced to this rate.
+const HINT_BYTES: f64 = 1_000.0;
 
 /// A limit with the extrapolated value.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,7 +96,8 @@
     let cpu = at("members_cpu", MEMBERS) + at("changes_cpu", CHANGES_PER_MINUTE);
     let bytes = at("members_bytes", MEMBERS)
         + platform.bytes_per_change * CHANGES_PER_MINUTE / 60.0
-        + REPAIR_BYTES;
+        + REPAIR_BYTES
+        + HINT_BYTES;
     let limit = |name, limit, value, unit| Limit { name, limit, value, unit };
     vec![
         limit("control: processor time of a node", CPU_LIMIT_PERCENT, cpu, "% of a core"),
@@ -114,7 +119,9 @@
         limit(
             "new flows: processor time of a node",
             100.0,
-            NEW_FLOWS_PER_NODE * 20.0 * at("flow_entries_route_time", FLOWS_PER_NODE) / 1e9 * 100.0,
+            NEW_FLOWS_PER_NODE * PACKETS_PER_FLOW * at("flow_entries_route_time", FLOWS_PER_NODE)
+                / 1e9
+                * 100.0,
             "% of a core",
         ),
     ]
