--- a/crates/jasminecart-bench/src/capacity/slopes.rs
+++ b/crates/jasminecart-bench/src/capacity/slopes.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use jasminecart_core::flow::{FlowKey, FlowLimits, FlowPacket, PacketKind, Router};
-use jasminecart_core::process::{Member, MemberState, Members, PeerAddress};
 use jasminecart_core::request::{
     Action, DispatchLimits, Dispatcher, Outcome, RequestId, RequestMeta,
 };
@@ -16,7 +15,7 @@
 use peak_alloc::PeakAlloc;
 
 use super::fit::Slope;
-use crate::documents;
+use crate::{documents, lone};
 
 /// Reads the live heap of the process; the `measure` binary installs the allocator that counts it.
 const HEAP: PeakAlloc = PeakAlloc;
@@ -24,7 +23,7 @@
 /// The configuration of the two-year target, from `docs/design.md`, section 4.
 pub(super) const TARGET_SERVICES: usize = 1_600;
 const DATA_CENTRES: usize = 6;
-/// The addresses of one configuration value are bounded by 1 MB, so text beyond the sections is comment.
+/// Fills a document up to a size that its sections do not reach.
 const COMMENT_LINE: &str = "; this comment stands for sections that do not change with the size\n";
 
 /// A synthetic document.
@@ -84,7 +83,7 @@
 fn flow_entries(seed: u64, flows: u32) -> (f64, f64, f64) {
     let mut router = lone_router(seed);
     let mut now = Millis(1);
-    // The weights of revision 2 unsettle about half of the buckets once a target drains.
+    // Draining every second target unsettles about half of the buckets.
     for text in [drain_text(false), drain_text(true)] {
         let revision = if text.contains("draining") { 2 } else { 1 };
         let document = Document::parse(Revision(revision), &text).map(Arc::new);
@@ -134,17 +133,8 @@
 fn lone_router(seed: u64) -> Router {
     let me = VmId::new("dc-0", "vm");
     let mut router = Router::new(me.clone(), seed, FlowLimits::default());
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let member = Member {
-        vm: me.clone(),
-        incarnation: Incarnation(1),
-        state: MemberState::Active,
-        size: 1,
-        address: PeerAddress { control: address, packets: address, requests: address },
-        revision: Revision(1_000),
-        heard_at: Millis(1),
-    };
-    router.set_members(Millis(1), &Members::new(me, vec![member]));
+    // The revision is beyond those of all documents, so that each counts as acknowledged.
+    router.set_members(Millis(1), &lone::members(me, Revision(1_000)));
     router
 }
 
--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod documents;
 pub mod faults;
 pub mod flows;
+mod lone;
 pub mod membership;
 pub mod message_queue;
 pub mod packets;
--- a/crates/jasminecart-bench/src/packets.rs
+++ b/crates/jasminecart-bench/src/packets.rs
@@ -10,9 +10,8 @@
 use std::time::Instant;
 
 use jasminecart_core::flow::{FlowLimits, Route, Router};
-use jasminecart_core::process::{Member, MemberState, Members, PeerAddress};
 use jasminecart_core::version::{Document, Revision};
-use jasminecart_core::{Incarnation, Millis, VmId};
+use jasminecart_core::{Millis, VmId};
 use jasminecart_packet::gue::{self, HEADROOM};
 use jasminecart_packet::{Content, Origin, ttl};
 use rand::seq::SliceRandom as _;
@@ -20,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
+use crate::lone;
 use crate::report::Report;
 
 /// The endpoints of a users' larger service.
@@ -146,18 +146,8 @@
         let me = VmId::new("dc", "vm");
         let router = Router::new(me.clone(), seed, FlowLimits::default());
         let mut routed = Routed { router, now: Millis(1) };
-        let address = SocketAddr::from(([127, 0, 0, 1], 1));
-        let member = Member {
-            vm: me.clone(),
-            incarnation: Incarnation(1),
-            state: MemberState::Active,
-            size: 1,
-            address: PeerAddress { control: address, packets: address, requests: address },
-            revision: Revision(2),
-            heard_at: Millis(1),
-        };
         routed.router.set_document(routed.now, &document(1, TARGETS));
-        routed.router.set_members(routed.now, &Members::new(me, vec![member]));
+        routed.router.set_members(routed.now, &lone::members(me, Revision(2)));
         routed.wait();
         if is_changed {
             routed.router.set_document(routed.now, &document(2, TARGETS / 2));
