--- a/crates/jasminecart-core/src/flow/rules.rs
+++ b/crates/jasminecart-core/src/flow/rules.rs
@@ -180,7 +180,7 @@
             let hands_over = !cx.trusted && !known && cx.rank[0] == self.owners.me();
             if hands_over && cx.may_pass() && self.is_answering(second) {
                 if self.known(now, cx).is_some_and(|own| own.hinted || own.state == State::Hint) {
-                    self.forget(now, cx.flow);
+                    self.revoke_hints(now, cx.flow);
                 }
                 self.flows.remove(cx.flow);
                 // The decision takes one more hop and comes back on another, if there is one left.
@@ -218,7 +218,7 @@
             return Verdict::Drop(DropReason::NoTarget);
         };
         let hinted = known.is_some_and(|own| own.hinted || own.state == State::Hint);
-        if kept.is_none() && hinted && !self.hints_revoked(now, cx.flow) {
+        if kept.is_none() && hinted && !self.revoke_hints(now, cx.flow) {
             return Verdict::Drop(DropReason::Revoking);
         }
         self.counters.decided += 1;
@@ -671,14 +671,9 @@
         }
     }
 
-    /// Revokes the hints for a flow that was decided again.
-    fn forget(&mut self, now: Millis, flow: u64) {
-        self.hints_revoked(now, flow);
-    }
-
     /// Revokes the hints for a flow. Returns whether every peer has confirmed, or the wait for it is over.
     /// Until then a SYN is dropped, and its client repeats it.
-    fn hints_revoked(&mut self, now: Millis, flow: u64) -> bool {
+    fn revoke_hints(&mut self, now: Millis, flow: u64) -> bool {
         let peers: Vec<VmId> = self.owners.peers().map(|peer| peer.vm.clone()).collect();
         let waiting = self.revocations.revoke(now, flow, peers);
         for vm in &waiting {
@@ -691,7 +686,7 @@
     /// addresses goes elsewhere.
     fn forget_draining(&mut self, now: Millis, cx: &Context, target: u64) {
         if self.slot(cx, target).is_some_and(|slot| slot.target.draining) {
-            self.forget(now, cx.flow);
+            self.revoke_hints(now, cx.flow);
         }
     }
 
--- a/crates/jasminecart-core/src/version/document.rs
+++ b/crates/jasminecart-core/src/version/document.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -267,11 +267,6 @@
         self.services.get(self.by_address.get(&address)?)
     }
 
-    /// Returns the addresses of all services at an IP address, for ICMP errors and fragments.
-    pub fn has_address(&self, ip: IpAddr) -> bool {
-        self.by_address.keys().any(|address| address.socket.ip() == ip)
-    }
-
     /// Returns the service of a host name. The port of the host is ignored by callers of this function.
     pub fn service_for_host(&self, host: &str) -> Option<&Service> {
         self.services.get(self.by_host.get(host)?)
