Run on the users' platform: routing by a token, and a thin forwarding process

The platform's packets carry 32 bits that both ends hand back. A token derived from the target's name travels there, so that every VM that knows the targets routes every packet of an open flow without flow state. The core gets the token router, a target list that lives apart from the document, and routes by address. jasminecart-forward is the process around it; platform/ translates the platform's packets, entries and store.

Clock, backoff and the form of log lines move to jasminecart-runtime, since two daemons use them now.

--- a/crates/jasminecart-core/src/flow/mod.rs
+++ b/crates/jasminecart-core/src/flow/mod.rs
@@ -18,6 +18,7 @@
 mod router;
 mod rules;
 mod table;
+pub mod token;
 mod transfers;
 mod types;
 
--- /dev/null
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -0,0 +1,23 @@
+//! Routing by a token that travels in the packets of a flow.
+//!
+//! Where the encapsulation offers 32 bits that both ends hand back, every VM can route every packet of an
+//! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
+//! decision. [`TokenRouter`] is the facade; `steering` chooses the target of a new flow, `open_flows`
+//! observes the flows that pass through this VM, and `silence` collects evidence against targets that do
+//! not answer. `docs/platform.md` gives the design; [`super::Router`] serves encapsulations without a token.
+
+mod open_flows;
+mod router;
+mod routing_token;
+mod segment;
+mod silence;
+mod steering;
+mod target_state;
+
+pub use self::router::{
+    Decision, Destination, DropCause, ResetCause, TokenCounters, TokenRouter, TokenRouterLimits,
+    Verdict,
+};
+pub use self::routing_token::RoutingToken;
+pub use self::segment::{ClientSegment, FlowId, SegmentKind};
+pub use self::steering::{Choice, Load};
--- /dev/null
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -0,0 +1,473 @@
+//! The facade of token routing.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use super::open_flows::{OpenFlow, OpenFlows};
+use super::routing_token::RoutingToken;
+use super::segment::{ClientSegment, FlowId, SegmentKind};
+use super::steering::{Choice, Steering};
+use super::target_state::TargetState;
+use crate::names::{Name, VmId};
+use crate::time::Millis;
+use crate::version::{Effect, Revision, RouteRule, Routes, TargetChange, TargetList, TargetRecord};
+
+/// Bounds of a [`TokenRouter`].
+#[derive(Clone, Copy, Debug)]
+pub struct TokenRouterLimits {
+    /// The most flows that are observed. Flows beyond are routed and not observed.
+    pub max_flows: usize,
+}
+
+impl Default for TokenRouterLimits {
+    fn default() -> Self {
+        // About 100 bytes each; at the two-year size a VM carries 14,500 open flows.
+        TokenRouterLimits { max_flows: 20_000 }
+    }
+}
+
+/// Where a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Destination {
+    /// The address of the target.
+    pub address: SocketAddrV4,
+    /// The number by which the target recognises packets that are meant for it.
+    pub label: u64,
+    /// The token that the packet has to carry.
+    pub token: RoutingToken,
+}
+
+/// Why a packet is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum DropCause {
+    /// This VM has not learned the routes and targets yet.
+    NotReady,
+    /// The flow is open, and no known target has its token.
+    UnknownToken,
+    /// The flow carries no token, although it is no opening.
+    NoToken,
+    /// The token names a target that the route does not lead to.
+    ForeignToken,
+}
+
+/// Why a flow is reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ResetCause {
+    /// No route leads from the address.
+    NoRoute,
+    /// The service of the route has no target that takes flows.
+    NoTarget,
+    /// The target of the flow is gone.
+    TargetGone,
+}
+
+/// What happens to a packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is forwarded.
+    Forward(Destination),
+    /// The client is told that the flow is over.
+    Reset(ResetCause),
+    /// It is dropped.
+    Drop(DropCause),
+}
+
+/// A decision about a new flow with its inputs, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The route of the flow.
+    pub route: Name,
+    /// The chosen target.
+    pub target: Name,
+    /// The choice and its inputs.
+    pub choice: Choice,
+    /// The target of an earlier copy of the same opening, if another was chosen now.
+    pub instead_of: Option<Name>,
+    /// The version of the routes.
+    pub version: u64,
+}
+
+/// Counts of a [`TokenRouter`].
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct TokenCounters {
+    /// Openings that got a target, copies included.
+    pub openings: u64,
+    /// Repeated openings.
+    pub repeated_openings: u64,
+    /// Repeated openings that went to another target.
+    pub moved_openings: u64,
+    /// Packets of open flows that were forwarded.
+    pub forwarded: u64,
+    /// Flows that were reset.
+    pub resets: u64,
+    /// Packets that were dropped.
+    pub dropped: u64,
+    /// Targets that get no new flows, because another target has the same token.
+    pub ambiguous_targets: u64,
+}
+
+/// Routes packets whose encapsulation carries a token. See `docs/platform.md`.
+#[derive(Debug)]
+pub struct TokenRouter {
+    limits: TokenRouterLimits,
+    routes: Option<Arc<Routes>>,
+    list: TargetList,
+    targets: Vec<TargetState>,
+    by_token: HashMap<RoutingToken, usize>,
+    by_service: HashMap<Name, Vec<usize>>,
+    flows: OpenFlows,
+    steering: Steering,
+    rng: ChaCha8Rng,
+    decision: Option<Decision>,
+    answered: Option<(Name, Millis)>,
+    counters: TokenCounters,
+}
+
+impl TokenRouter {
+    /// Creates the router of one VM. It drops all packets until it knows routes and targets.
+    pub fn new(me: &VmId, seed: u64, limits: TokenRouterLimits) -> TokenRouter {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let steering_rng = ChaCha8Rng::seed_from_u64(rng.random());
+        TokenRouter {
+            limits,
+            routes: None,
+            list: TargetList::default(),
+            targets: Vec::new(),
+            by_token: HashMap::new(),
+            by_service: HashMap::new(),
+            flows: OpenFlows::default(),
+            steering: Steering::new(me.data_centre.clone(), steering_rng),
+            rng,
+            decision: None,
+            answered: None,
+            counters: TokenCounters::default(),
+        }
+    }
+
+    /// Adopts routes unless newer ones are in force. Returns whether they were adopted.
+    pub fn set_routes(&mut self, routes: Arc<Routes>) -> bool {
+        let newer = |known: &Arc<Routes>| routes.revision > known.revision;
+        let adopt = self.routes.as_ref().is_none_or(newer);
+        if adopt {
+            self.routes = Some(routes);
+        }
+        adopt
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn set_store_returned(&mut self, now: Millis) {
+        self.list.set_store_returned(now);
+    }
+
+    /// Takes a whole list of targets that was read at `revision`.
+    pub fn set_targets(
+        &mut self,
+        now: Millis,
+        records: Vec<TargetRecord>,
+        revision: Revision,
+    ) -> Vec<(Name, Effect)> {
+        let effects = self.list.replace(now, records, revision);
+        self.rebuild(now, &effects);
+        effects
+    }
+
+    /// Applies one change of the list of targets.
+    pub fn change_target(&mut self, now: Millis, change: TargetChange) -> Effect {
+        let name = change.name().clone();
+        let effect = self.list.apply(now, change);
+        if effect != Effect::Ignored {
+            self.rebuild(now, &[(name, effect)]);
+        }
+        effect
+    }
+
+    /// Does what time alone requires. It has to be called about every 100 ms.
+    pub fn tick(&mut self, now: Millis) {
+        let expired = self.list.expire(now);
+        if !expired.stopped.is_empty() || !expired.forgotten.is_empty() {
+            self.rebuild(now, &[]);
+        }
+        let idle = self.routes.as_ref().map_or(Millis::MAX, |routes| routes.idle_timeout);
+        for flow in self.flows.expire(now, idle) {
+            self.forget(&flow);
+        }
+    }
+
+    /// Decides about one packet. [`TokenRouter::take_decision`] explains the choice for a new flow.
+    pub fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Verdict {
+        let verdict = self.route(now, segment);
+        match verdict {
+            Verdict::Forward(_) => {}
+            Verdict::Reset(_) => self.counters.resets += 1,
+            Verdict::Drop(_) => self.counters.dropped += 1,
+        }
+        verdict
+    }
+
+    /// Returns the decision about the last packet, if it opened a flow.
+    pub fn take_decision(&mut self) -> Option<Decision> {
+        self.decision.take()
+    }
+
+    /// Returns the route and latency of a request, if the last packet acknowledged its answer.
+    pub fn take_answered(&mut self) -> Option<(Name, Millis)> {
+        self.answered.take()
+    }
+
+    /// Tells whether the router knows routes and targets.
+    pub fn is_ready(&self) -> bool {
+        self.routes.is_some() && !self.targets.is_empty()
+    }
+
+    /// Returns the routes in force.
+    pub fn routes(&self) -> Option<&Arc<Routes>> {
+        self.routes.as_ref()
+    }
+
+    /// Returns the list of targets.
+    pub fn targets(&self) -> &TargetList {
+        &self.list
+    }
+
+    /// Returns how many flows are observed.
+    pub fn observed_flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Returns the counts.
+    pub fn counters(&self) -> TokenCounters {
+        self.counters
+    }
+
+    fn route(&mut self, now: Millis, segment: &ClientSegment) -> Verdict {
+        let Some(routes) = self.routes.clone() else { return Verdict::Drop(DropCause::NotReady) };
+        let Some(rule) = routes.rule(&segment.flow.service) else {
+            return Verdict::Reset(ResetCause::NoRoute);
+        };
+        match segment.kind {
+            SegmentKind::Open { copy } => self.open(now, segment, copy, rule, routes.version),
+            SegmentKind::Data | SegmentKind::Finish | SegmentKind::Abort => {
+                self.pass_on(now, segment, rule)
+            }
+        }
+    }
+
+    fn open(
+        &mut self,
+        now: Millis,
+        segment: &ClientSegment,
+        copy: u32,
+        rule: &RouteRule,
+        version: u64,
+    ) -> Verdict {
+        if self.targets.is_empty() {
+            return Verdict::Drop(DropCause::NotReady);
+        }
+        let earlier = self.earlier_target(now, &segment.flow, copy);
+        let Some(service) = self.pick_service(rule) else {
+            return Verdict::Reset(ResetCause::NoTarget);
+        };
+        let members = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
+        let Some(choice) = self.steering.choose(now, &self.targets, members, earlier) else {
+            return Verdict::Reset(ResetCause::NoTarget);
+        };
+        self.counters.openings += 1;
+        self.counters.repeated_openings += u64::from(copy > 0);
+        let instead_of = earlier.filter(|index| *index != choice.index);
+        self.counters.moved_openings += u64::from(instead_of.is_some());
+        self.decision = Some(Decision {
+            route: rule.name.clone(),
+            target: self.targets[choice.index].name.clone(),
+            choice,
+            instead_of: instead_of.map(|index| self.targets[index].name.clone()),
+            version,
+        });
+        self.observe_opening(now, segment, choice.index);
+        Verdict::Forward(self.destination(choice.index))
+    }
+
+    /// Returns the target that got an earlier copy of the opening, and notes that it did not answer.
+    fn earlier_target(&mut self, now: Millis, flow: &FlowId, copy: u32) -> Option<usize> {
+        if copy == 0 {
+            return None;
+        }
+        let target = self.flows.get_mut(flow)?.target;
+        let index = *self.by_token.get(&target)?;
+        self.targets[index].silence.on_repeated_opening(now);
+        Some(index)
+    }
+
+    /// Picks a service of the route by the shares of those that have targets.
+    fn pick_service(&mut self, rule: &RouteRule) -> Option<Name> {
+        let mut open = rule.services.iter().filter(|(name, share)| {
+            *share > 0 && self.by_service.get(name).is_some_and(|members| !members.is_empty())
+        });
+        if rule.services.len() == 1 {
+            return open.next().map(|(name, _)| name.clone());
+        }
+        let total: u64 = open.clone().map(|(_, share)| u64::from(*share)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut rest = self.rng.random_range(0..total);
+        for (name, share) in open {
+            let share = u64::from(*share);
+            if rest < share {
+                return Some(name.clone());
+            }
+            rest -= share;
+        }
+        None
+    }
+
+    fn pass_on(&mut self, now: Millis, segment: &ClientSegment, rule: &RouteRule) -> Verdict {
+        let Some(token) = segment.token else { return Verdict::Drop(DropCause::NoToken) };
+        let Some(&index) = self.by_token.get(&token) else {
+            return Verdict::Drop(DropCause::UnknownToken);
+        };
+        let target = &self.targets[index];
+        if !rule.allows(&target.service) {
+            return Verdict::Drop(DropCause::ForeignToken);
+        }
+        if now >= target.gone_at {
+            self.end(&segment.flow);
+            return Verdict::Reset(ResetCause::TargetGone);
+        }
+        self.counters.forwarded += 1;
+        self.observe(now, segment, index, rule);
+        Verdict::Forward(self.destination(index))
+    }
+
+    fn destination(&self, index: usize) -> Destination {
+        let target = &self.targets[index];
+        Destination { address: target.address, label: target.label, token: target.token }
+    }
+
+    fn observe_opening(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
+        self.end(&segment.flow);
+        if self.flows.len() >= self.limits.max_flows {
+            return;
+        }
+        let flow = OpenFlow {
+            target: self.targets[index].token,
+            last_at: now,
+            // A client opens a flow for a request that it sends at once.
+            request_at: Some(now),
+            sent: segment.seq,
+            acked: 0,
+            established: false,
+        };
+        self.targets[index].flows += 1;
+        self.targets[index].busy += 1;
+        self.flows.insert(segment.flow, flow);
+    }
+
+    fn observe(&mut self, now: Millis, segment: &ClientSegment, index: usize, rule: &RouteRule) {
+        if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort) {
+            let flow = self.end(&segment.flow);
+            let request_at = flow.and_then(|flow| flow.request_at);
+            let finished = segment.kind == SegmentKind::Finish;
+            if let Some(request_at) = request_at.filter(|_| finished) {
+                self.answered = Some((rule.name.clone(), now.since(request_at)));
+            }
+            return;
+        }
+        let token = self.targets[index].token;
+        let known = self.flows.get_mut(&segment.flow).filter(|flow| flow.target == token);
+        let Some(flow) = known else {
+            self.adopt(now, segment, index);
+            return;
+        };
+        flow.last_at = now;
+        let progress = flow.established && segment.ack != flow.acked;
+        let first = !flow.established;
+        flow.established = true;
+        flow.acked = segment.ack;
+        let end = segment.seq.wrapping_add(u32::from(segment.payload));
+        let target = &mut self.targets[index];
+        if first || progress {
+            target.silence.on_progress();
+        }
+        if segment.payload > 0 {
+            flow.sent = end;
+            if flow.request_at.is_none() {
+                flow.request_at = Some(now);
+                target.busy += 1;
+            }
+        } else if progress && let Some(request_at) = flow.request_at.take() {
+            target.busy = target.busy.saturating_sub(1);
+            self.answered = Some((rule.name.clone(), now.since(request_at)));
+        }
+    }
+
+    /// Observes a flow that was opened through another VM.
+    fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
+        self.end(&segment.flow);
+        if self.flows.len() >= self.limits.max_flows {
+            return;
+        }
+        let target = &mut self.targets[index];
+        let request_at = (segment.payload > 0).then_some(now);
+        target.flows += 1;
+        target.busy += u32::from(request_at.is_some());
+        let flow = OpenFlow {
+            target: target.token,
+            last_at: now,
+            request_at,
+            sent: segment.seq.wrapping_add(u32::from(segment.payload)),
+            acked: segment.ack,
+            established: true,
+        };
+        self.flows.insert(segment.flow, flow);
+    }
+
+    fn end(&mut self, flow: &FlowId) -> Option<OpenFlow> {
+        let flow = self.flows.remove(flow)?;
+        self.forget(&flow);
+        Some(flow)
+    }
+
+    fn forget(&mut self, flow: &OpenFlow) {
+        let Some(&index) = self.by_token.get(&flow.target) else { return };
+        let target = &mut self.targets[index];
+        target.flows = target.flows.saturating_sub(1);
+        if flow.request_at.is_some() {
+            target.busy = target.busy.saturating_sub(1);
+        }
+    }
+
+    /// Derives the tables from the list. Observations stay with targets that did not restart.
+    fn rebuild(&mut self, now: Millis, effects: &[(Name, Effect)]) {
+        let restarted = |name: &Name| effects.contains(&(name.clone(), Effect::Restarted));
+        let earlier: HashMap<Name, TargetState> =
+            self.targets.drain(..).map(|target| (target.name.clone(), target)).collect();
+        self.by_token.clear();
+        self.by_service.clear();
+        self.counters.ambiguous_targets = 0;
+        for (index, listed) in self.list.iter().enumerate() {
+            let mut target = TargetState::new(now, listed);
+            if let Some(earlier) = earlier.get(&target.name)
+                && !restarted(&target.name)
+            {
+                target = target.with_observations(earlier);
+            }
+            if let Some(&other) = self.by_token.get(&target.token) {
+                target.ambiguous = true;
+                self.counters.ambiguous_targets += 1;
+                let other: &mut TargetState = &mut self.targets[other];
+                other.ambiguous = true;
+            } else {
+                self.by_token.insert(target.token, index);
+            }
+            if target.takes_flows {
+                self.by_service.entry(target.service.clone()).or_default().push(index);
+            }
+            self.targets.push(target);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-core/src/flow/token/target_state.rs
@@ -0,0 +1,64 @@
+//! What the token router knows of one target besides its record.
+
+use std::net::SocketAddrV4;
+
+use super::routing_token::RoutingToken;
+use super::silence::Silence;
+use crate::names::Name;
+use crate::time::Millis;
+use crate::version::ListedTarget;
+
+/// A target as the router uses it for every packet.
+#[derive(Clone, Debug)]
+pub(super) struct TargetState {
+    pub(super) name: Name,
+    pub(super) service: Name,
+    pub(super) data_centre: Name,
+    pub(super) token: RoutingToken,
+    pub(super) label: u64,
+    pub(super) address: SocketAddrV4,
+    pub(super) slots: u32,
+    /// Whether new flows may go to it.
+    pub(super) takes_flows: bool,
+    /// Whether another target has the same token. Such a target gets no new flows.
+    pub(super) ambiguous: bool,
+    /// From when packets of its flows are answered with a reset.
+    pub(super) gone_at: Millis,
+    /// Until when it runs slowly after its start.
+    pub(super) cold_until: Millis,
+    /// Open flows seen by this VM.
+    pub(super) flows: u32,
+    /// Requests in progress seen by this VM.
+    pub(super) busy: u32,
+    pub(super) silence: Silence,
+}
+
+impl TargetState {
+    pub(super) fn new(now: Millis, listed: &ListedTarget) -> TargetState {
+        let record = &listed.record;
+        TargetState {
+            name: record.name.clone(),
+            service: record.service.clone(),
+            data_centre: record.data_centre.clone(),
+            token: RoutingToken::of(&record.name),
+            label: record.label,
+            address: record.address,
+            slots: record.slots,
+            takes_flows: listed.takes_flows(),
+            ambiguous: false,
+            gone_at: listed.gone_at(),
+            cold_until: now + listed.cold_left(now),
+            flows: 0,
+            busy: 0,
+            silence: Silence::default(),
+        }
+    }
+
+    /// Takes over what was observed under an earlier record of the same incarnation.
+    pub(super) fn with_observations(mut self, earlier: &TargetState) -> TargetState {
+        self.flows = earlier.flows;
+        self.busy = earlier.busy;
+        self.silence = earlier.silence.clone();
+        self
+    }
+}
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -4,6 +4,8 @@
 mod compare;
 mod document;
 mod parse;
+mod routes;
+mod targets;
 
 pub use self::adoption::{
     Adoption, AdoptionAlert, AdoptionCounters, AdoptionLimits, DocumentMessage, Part, Piece,
@@ -14,3 +16,8 @@
     Class, Digest, Document, DocumentErrors, Limits, Protocol, Revision, Service, ServiceAddress,
     Target, TargetState, Tenant,
 };
+pub use self::routes::{Repeatable, RouteRule, Routes};
+pub use self::targets::{
+    Effect, Expired, FORGOTTEN_AFTER, GONE_AFTER, LAPSE_GRACE, ListedTarget, Presence,
+    TargetChange, TargetList, TargetRecord,
+};
--- a/crates/jasminecart-entry/src/lib.rs
+++ b/crates/jasminecart-entry/src/lib.rs
@@ -5,7 +5,6 @@
 //! machines of `jasminecart-core`. Nothing is shared between several entry VMs of one process but the logger
 //! and the count of invariant violations. `docs/design.md`, section 14, describes the listeners.
 
-pub mod clock;
 mod control;
 mod entry;
 mod errors;
@@ -19,6 +18,8 @@
 pub mod settings;
 mod tasks;
 
+pub use jasminecart_runtime::clock;
+
 pub use crate::entry::{Addresses, Entry, EntryHandle, StopReport, run};
 pub use crate::errors::{Error, Result};
 pub use crate::request::{
--- /dev/null
+++ b/crates/jasminecart-forward/src/http.rs
@@ -0,0 +1,94 @@
+//! The HTTP listeners: readiness for the platform, and metrics for operators.
+
+use std::convert::Infallible;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::warn;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::errors::{Error, Result};
+use crate::process::Shared;
+
+/// The most connections served at once on one listener. The platform opens one for its probes.
+const MAX_CONNECTIONS: usize = 16;
+/// How long a connection may go without finishing its exchange. Probes come every 500 ms.
+const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
+/// The pause after a failed accept, which means that descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a listener answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Page {
+    /// Whether the VM is ready, on every path.
+    Readiness,
+    /// The metrics, on every path.
+    Metrics,
+}
+
+/// Opens a listener and serves it in the background.
+pub(crate) async fn listen(address: SocketAddrV4, page: Page, shared: Rc<Shared>) -> Result<()> {
+    let name = match page {
+        Page::Readiness => "readiness",
+        Page::Metrics => "operators",
+    };
+    let listener = TcpListener::bind(address).await;
+    let failed = |source| Error::Listen { listener: name, address: address.into(), source };
+    tokio::task::spawn_local(accept(listener.map_err(failed)?, page, shared));
+    Ok(())
+}
+
+async fn accept(listener: TcpListener, page: Page, shared: Rc<Shared>) {
+    let open = Rc::new(());
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                let cause = error.to_string();
+                warn!(event = "accept-failed", cause = cause.as_str(); "a connection was not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if Rc::strong_count(&open) > MAX_CONNECTIONS {
+            continue;
+        }
+        let (open, shared) = (open.clone(), shared.clone());
+        tokio::task::spawn_local(async move {
+            // A connection that stays open for long is closed, so that a silent one is not kept for ever.
+            let served = tokio::time::timeout(CONNECTION_LIMIT, serve(stream, page, shared)).await;
+            drop(served);
+            drop(open);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, page: Page, shared: Rc<Shared>) {
+    let service = service_fn(move |_: Request<Incoming>| {
+        let answer = answer(page, &shared);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    // A client that breaks off its connection is nothing that an operator could act on.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+fn answer(page: Page, shared: &Shared) -> Response<Full<Bytes>> {
+    let (status, body) = match page {
+        Page::Readiness if shared.readiness.is_ready(shared.clock.now()) => {
+            (StatusCode::OK, "ready".into())
+        }
+        Page::Readiness => (StatusCode::SERVICE_UNAVAILABLE, "not ready".into()),
+        Page::Metrics => (StatusCode::OK, shared.metrics.encode()),
+    };
+    let mut res = Response::new(Full::new(Bytes::from(body)));
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Metrics of a forwarding process.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the latency buckets, in seconds. They bracket the objectives of 150 to 500 ms and the
+/// deadlines of 1 to 5 s.
+const LATENCY_BUCKETS: [f64; 13] =
+    [0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0];
+
+/// A route. Operators configure routes, which bounds their number.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RouteLabel {
+    pub(crate) route: String,
+}
+
+/// Why a packet was not forwarded.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabel {
+    pub(crate) cause: &'static str,
+}
+
+/// Counters, gauges and histograms with their registry.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) packets: Counter,
+    pub(crate) forwarded: Counter,
+    pub(crate) openings: Family<RouteLabel, Counter>,
+    pub(crate) repeated_openings: Counter,
+    pub(crate) moved_openings: Counter,
+    pub(crate) resets: Family<CauseLabel, Counter>,
+    pub(crate) drops: Family<CauseLabel, Counter>,
+    pub(crate) send_failures: Counter,
+    pub(crate) latency: Family<RouteLabel, Histogram>,
+    pub(crate) flows: Gauge,
+    pub(crate) targets: Gauge,
+    pub(crate) suspects: Gauge,
+    pub(crate) directory_calls: Counter,
+    pub(crate) directory_failures: Counter,
+    pub(crate) directory_age_ms: Gauge,
+    pub(crate) refused_entries: Counter,
+    pub(crate) log_lines_suppressed: Counter,
+    pub(crate) log_lines_lost: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("jasminecart");
+        macro_rules! register {
+            ($name:ident, $help:literal) => {{
+                let metric = Default::default();
+                registry.register(stringify!($name), $help, Clone::clone(&metric));
+                metric
+            }};
+        }
+        let buckets = || Histogram::new(LATENCY_BUCKETS);
+        let latency = Family::new_with_constructor(buckets as fn() -> Histogram);
+        let help =
+            "Time from a request's first packet to the client's acknowledgement of its answer";
+        registry.register("request_latency_seconds", help, latency.clone());
+        Metrics {
+            packets: register!(packets, "Datagrams received on the packet listener"),
+            forwarded: register!(forwarded, "Datagrams sent to targets"),
+            openings: register!(openings, "Openings that got a target, by route"),
+            repeated_openings: register!(repeated_openings, "Openings that clients repeated"),
+            moved_openings: register!(moved_openings, "Repeated openings sent to another target"),
+            resets: register!(resets, "Resets sent to clients, by cause"),
+            drops: register!(drops, "Datagrams dropped, by cause"),
+            send_failures: register!(send_failures, "Datagrams that the system did not take"),
+            latency,
+            flows: register!(flows, "Open flows observed by this VM"),
+            targets: register!(targets, "Targets that take new flows"),
+            suspects: register!(suspects, "Targets suspected of not answering"),
+            directory_calls: register!(directory_calls, "Calls to the directory"),
+            directory_failures: register!(directory_failures, "Failed calls to the directory"),
+            directory_age_ms: register!(
+                directory_age_ms,
+                "Milliseconds since routes and targets were last confirmed"
+            ),
+            refused_entries: register!(refused_entries, "Directory entries that can't be used"),
+            log_lines_suppressed: register!(
+                log_lines_suppressed,
+                "Decisions not logged, because the volume of the log is bounded"
+            ),
+            log_lines_lost: register!(log_lines_lost, "Log lines lost, because output stalled"),
+            registry,
+        }
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        let encoded = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        if encoded.is_err() {
+            log::error!(event = "metrics-failed"; "the metrics can't be written as text");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-forward/src/readiness.rs
@@ -0,0 +1,53 @@
+//! Whether the VM should get packets from the platform's routers.
+
+use std::cell::Cell;
+
+use jasminecart_core::time::Millis;
+
+/// The state behind the answer to the platform's readiness probe.
+///
+/// A VM is ready when it knows routes and targets, has heard from the directory or a peer lately, and is
+/// not stopping.
+#[derive(Debug)]
+pub(crate) struct Readiness {
+    fresh_within: Cell<Millis>,
+    loaded: Cell<bool>,
+    stopping: Cell<bool>,
+    heard_at: Cell<Millis>,
+}
+
+impl Readiness {
+    pub(crate) fn new(fresh_within: Millis) -> Readiness {
+        Readiness {
+            fresh_within: Cell::new(fresh_within),
+            loaded: Cell::new(false),
+            stopping: Cell::new(false),
+            heard_at: Cell::new(Millis::ZERO),
+        }
+    }
+
+    pub(crate) fn set_fresh_within(&self, span: Millis) {
+        self.fresh_within.set(span);
+    }
+
+    pub(crate) fn set_loaded(&self, loaded: bool) {
+        self.loaded.set(loaded);
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.set(true);
+    }
+
+    pub(crate) fn set_heard(&self, now: Millis) {
+        self.heard_at.set(now);
+    }
+
+    /// Returns how long ago the directory or a peer confirmed what this VM knows.
+    pub(crate) fn age(&self, now: Millis) -> Millis {
+        now.since(self.heard_at.get())
+    }
+
+    pub(crate) fn is_ready(&self, now: Millis) -> bool {
+        self.loaded.get() && !self.stopping.get() && self.age(now) < self.fresh_within.get()
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -0,0 +1,168 @@
+//! The settings of a forwarding process, from one INI text.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use jasminecart_core::ini::{self, Problem, Problems, Section};
+use jasminecart_core::names::{Name, VmId};
+use jasminecart_core::time::Millis;
+use jasminecart_core::units;
+use log::LevelFilter;
+use thiserror::Error;
+
+const KINDS: [&str; 6] = ["vm", "listen", "directory", "peers", "limits", "log"];
+const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
+const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
+const SPAN: &str = "a span of 1 ms to 1 h such as 250ms, 30s or 5m";
+const MAX_SPAN: Millis = Millis::from_secs(3600);
+
+/// The settings of one forwarding process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The identity of the VM.
+    pub me: VmId,
+    /// The addresses of the listeners.
+    pub listen: ListenSettings,
+    /// The address of the directory of routes and targets.
+    pub directory: SocketAddr,
+    /// Addresses at which other VMs of the system may be found.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Bounds of the process.
+    pub limits: LimitSettings,
+    /// The least severe level that is logged.
+    pub log_level: LevelFilter,
+}
+
+/// The addresses of the listeners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// The UDP address for packets of clients.
+    pub packets: SocketAddrV4,
+    /// The TCP address at which the platform asks whether the VM is ready.
+    pub readiness: SocketAddrV4,
+    /// The TCP address for operators.
+    pub operators: SocketAddrV4,
+    /// The UDP address for messages of other VMs.
+    pub peers: SocketAddrV4,
+}
+
+/// Bounds of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// How long a planned stop goes on forwarding after readiness ended, so that the platform's routers
+    /// send new packets elsewhere.
+    pub stop_after: Millis,
+    /// The age of the last answer of the directory at which the VM is no longer ready.
+    pub fresh_within: Millis,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        LimitSettings {
+            // Two missed probes 500 ms apart end the rotation; the rest covers the probe in progress.
+            stop_after: Millis(1_800),
+            fresh_within: Millis::from_secs(8),
+        }
+    }
+}
+
+/// All problems of settings that were refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the settings have {} problems, the first: {}", problems.len(), first(problems))]
+pub struct SettingsErrors {
+    /// The problems in the order of their lines.
+    pub problems: Vec<Problem>,
+}
+
+fn first(problems: &[Problem]) -> String {
+    problems.first().map(Problem::to_string).unwrap_or_default()
+}
+
+impl Settings {
+    /// Parses and validates settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems at once.
+    pub fn parse(text: &str) -> Result<Settings, SettingsErrors> {
+        let mut problems = Problems::default();
+        let mut sections = ini::sections(text, &mut problems);
+        report_unknown(&sections, &mut problems);
+        let settings = read(&mut sections, &mut problems);
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => Err(SettingsErrors { problems: problems.into_sorted() }),
+        }
+    }
+}
+
+fn report_unknown(sections: &[Section], problems: &mut Problems) {
+    for section in sections {
+        if !KINDS.contains(&section.kind.as_str()) {
+            let hint = ini::nearest(&section.kind, &KINDS);
+            let hint = hint.map(|kind| format!("; did you mean {kind:?}?")).unwrap_or_default();
+            section.report(problems, "", format!("unknown section{hint}"));
+        }
+    }
+}
+
+fn take(sections: &mut Vec<Section>, kind: &str) -> Section {
+    let place = sections.iter().position(|section| section.kind == kind);
+    place.map_or_else(|| Section::empty(kind), |place| sections.swap_remove(place))
+}
+
+fn read(sections: &mut Vec<Section>, problems: &mut Problems) -> Option<Settings> {
+    let mut vm = take(sections, "vm");
+    let name = vm.required(problems, "name", NAME, Name::parse);
+    let data_centre = vm.required(problems, "data_centre", NAME, Name::parse);
+    vm.finish(problems);
+    let listen = read_listen(take(sections, "listen"), problems);
+    let mut directory = take(sections, "directory");
+    let address = directory.required(problems, "address", SOCKET, parse);
+    directory.finish(problems);
+    let mut peers = take(sections, "peers");
+    let seeds = peers.optional(problems, "seeds", "addresses with commas between them", |text| {
+        text.split(',').map(str::trim).filter(|seed| !seed.is_empty()).map(parse).collect()
+    });
+    peers.finish(problems);
+    let limits = read_limits(take(sections, "limits"), problems);
+    let mut log = take(sections, "log");
+    let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
+    let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
+    log.finish(problems);
+    let me = VmId { data_centre: data_centre?, name: name? };
+    let seeds = seeds.unwrap_or_default();
+    Some(Settings { me, listen: listen?, directory: address?, seeds, limits, log_level })
+}
+
+fn read_listen(mut section: Section, problems: &mut Problems) -> Option<ListenSettings> {
+    let packets = section.required(problems, "packets", SOCKET, parse);
+    let readiness = section.required(problems, "readiness", SOCKET, parse);
+    let operators = section.required(problems, "operators", SOCKET, parse);
+    let peers = section.required(problems, "peers", SOCKET, parse);
+    section.finish(problems);
+    Some(ListenSettings {
+        packets: packets?,
+        readiness: readiness?,
+        operators: operators?,
+        peers: peers?,
+    })
+}
+
+fn read_limits(mut section: Section, problems: &mut Problems) -> LimitSettings {
+    let default = LimitSettings::default();
+    let mut span = |key, default| {
+        let valid = |span: &Millis| (Millis(1)..=MAX_SPAN).contains(span);
+        let parse = |text: &str| units::parse_span(text).filter(valid);
+        section.optional(problems, key, SPAN, parse).unwrap_or(default)
+    };
+    let limits = LimitSettings {
+        stop_after: span("stop_after", default.stop_after),
+        fresh_within: span("fresh_within", default.fresh_within),
+    };
+    section.finish(problems);
+    limits
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
--- a/crates/jasminecart-peer/src/lib.rs
+++ b/crates/jasminecart-peer/src/lib.rs
@@ -5,7 +5,6 @@
 //! reconnections: the state machines of the core tolerate lost messages, and a message that may have arrived
 //! is never sent again. `docs/design.md`, section 14, describes the protocol.
 
-mod backoff;
 mod codec;
 mod counters;
 mod envelope;
@@ -15,7 +14,8 @@
 mod peer_service;
 mod server;
 
-pub use crate::backoff::{Backoff, jitter};
+pub use jasminecart_runtime::backoff::{Backoff, jitter};
+
 pub use crate::codec::{Decoded, PostcardCodec};
 pub use crate::counters::PeerCounters;
 pub use crate::envelope::{Ack, Envelope, MAX_ENVELOPE_BYTES, MAX_ENVELOPE_MESSAGES, PROTOCOL};
--- a/crates/jasminecart-peer/src/links.rs
+++ b/crates/jasminecart-peer/src/links.rs
@@ -12,10 +12,10 @@
 use tonic::Code;
 use tonic::transport::{Channel, Endpoint};
 
-use crate::backoff::Backoff;
 use crate::counters::{Counters, PeerCounters, add};
 use crate::envelope::{Envelope, MAX_ENVELOPE_BYTES, MAX_ENVELOPE_MESSAGES, PROTOCOL};
 use crate::peer_service::peer_client::PeerClient;
+use jasminecart_runtime::backoff::Backoff;
 
 /// Room in an envelope for everything but its messages: two names, numbers and lengths.
 const ENVELOPE_OVERHEAD_BYTES: usize = 512;
--- a/crates/jasminecart-entry/src/clock.rs
+++ b/crates/jasminecart-runtime/src/clock.rs
@@ -1,10 +1,10 @@
-//! The clock of an entry process.
+//! The clock of a process.
 
 use std::time::Instant;
 
 use jasminecart_core::time::Millis;
 
-/// A monotonic clock that counts from its creation. Every part of one entry process holds a copy of the
+/// A monotonic clock that counts from its creation. Every part of one process holds a copy of the
 /// same clock, so that instants can be compared.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
