Steer new flows by how slowly targets answer

They got as many flows as the fast ones, and the feed's objective of 150 ms was missed there.

Change: each VM keeps the mean logarithm of a target's latencies relative to its route, and the cost of a new flow grows by that factor.

Ruled out as the cause: distance (the same latencies from every data centre).

--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -3,7 +3,7 @@
 //! Where the encapsulation offers 32 bits that both ends hand back, every VM can route every packet of an
 //! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
 //! decision. [`TokenRouter`] is the facade; `steering` chooses the target of a new flow, `open_flows`
-//! observes the flows that pass through this VM, and `silence` collects evidence against targets that do
+//! observes the flows that pass through this VM, `slowness` learns how fast targets answer, and `silence` collects evidence against targets that do
 //! not answer. `docs/platform.md` gives the design; [`super::Router`] serves encapsulations without a token.
 
 mod open_flows;
@@ -11,12 +11,13 @@
 mod routing_token;
 mod segment;
 mod silence;
+mod slowness;
 mod steering;
 mod target_state;
 
 pub use self::router::{
-    Decision, Destination, DropCause, ResetCause, TokenCounters, TokenRouter, TokenRouterLimits,
-    Verdict,
+    Answered, Decision, Destination, DropCause, ResetCause, TokenCounters, TokenRouter,
+    TokenRouterLimits, Verdict,
 };
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -11,6 +11,7 @@
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::routing_token::RoutingToken;
 use super::segment::{ClientSegment, FlowId, SegmentKind};
+use super::slowness::RouteLatencies;
 use super::steering::{Choice, Steering};
 use super::target_state::TargetState;
 use crate::names::{Name, VmId};
@@ -92,6 +93,19 @@
     pub version: u64,
 }
 
+/// A request whose answer reached the client, as far as the client's packets show.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answered {
+    /// The route of the request.
+    pub route: Name,
+    /// The target that answered.
+    pub target: Name,
+    /// From the request's first packet to the acknowledgement of its answer.
+    pub latency: Millis,
+    /// Whether the request opened its flow, so that the latency includes the handshake.
+    pub opened: bool,
+}
+
 /// Counts of a [`TokenRouter`].
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct TokenCounters {
@@ -121,10 +135,11 @@
     by_token: HashMap<RoutingToken, usize>,
     by_service: HashMap<Name, Vec<usize>>,
     flows: OpenFlows,
+    latencies: RouteLatencies,
     steering: Steering,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
-    answered: Option<(Name, Millis)>,
+    answered: Option<Answered>,
     counters: TokenCounters,
 }
 
@@ -141,6 +156,7 @@
             by_token: HashMap::new(),
             by_service: HashMap::new(),
             flows: OpenFlows::default(),
+            latencies: RouteLatencies::default(),
             steering: Steering::new(me.data_centre.clone(), steering_rng),
             rng,
             decision: None,
@@ -154,6 +170,7 @@
         let newer = |known: &Arc<Routes>| routes.revision > known.revision;
         let adopt = self.routes.as_ref().is_none_or(newer);
         if adopt {
+            self.latencies.retain(|name| routes.by_address.values().any(|rule| rule.name == *name));
             self.routes = Some(routes);
         }
         adopt
@@ -214,8 +231,8 @@
         self.decision.take()
     }
 
-    /// Returns the route and latency of a request, if the last packet acknowledged its answer.
-    pub fn take_answered(&mut self) -> Option<(Name, Millis)> {
+    /// Returns a request, if the last packet acknowledged its answer.
+    pub fn take_answered(&mut self) -> Option<Answered> {
         self.answered.take()
     }
 
@@ -373,7 +390,7 @@
             let request_at = flow.and_then(|flow| flow.request_at);
             let finished = segment.kind == SegmentKind::Finish;
             if let Some(request_at) = request_at.filter(|_| finished) {
-                self.answered = Some((rule.name.clone(), now.since(request_at)));
+                self.note_answer(now, index, rule, now.since(request_at), true);
             }
             return;
         }
@@ -401,10 +418,25 @@
             }
         } else if progress && let Some(request_at) = flow.request_at.take() {
             target.busy = target.busy.saturating_sub(1);
-            self.answered = Some((rule.name.clone(), now.since(request_at)));
+            self.note_answer(now, index, rule, now.since(request_at), false);
         }
     }
 
+    /// Learns from a request whose answer the client acknowledged.
+    fn note_answer(
+        &mut self,
+        now: Millis,
+        index: usize,
+        rule: &RouteRule,
+        latency: Millis,
+        opened: bool,
+    ) {
+        let target = &mut self.targets[index];
+        self.latencies.add(now, &rule.name, latency, &mut target.slowness);
+        let (route, target) = (rule.name.clone(), target.name.clone());
+        self.answered = Some(Answered { route, target, latency, opened });
+    }
+
     /// Observes a flow that was opened through another VM.
     fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
         self.end(&segment.flow);
--- a/crates/jasminecart-core/src/flow/token/steering.rs
+++ b/crates/jasminecart-core/src/flow/token/steering.rs
@@ -100,7 +100,8 @@
         let waiting = f64::from(target.busy) + IDLE_FLOW_LOAD * f64::from(target.flows);
         let cold = if now < target.cold_until { COLD_FACTOR } else { 1.0 };
         let remote = if target.data_centre == self.data_centre { 0.0 } else { REMOTE_COST };
-        let cost = (waiting + 1.0) * cold / f64::from(target.slots.max(1)) + remote;
+        let slowness = target.slowness.factor(now);
+        let cost = (waiting + 1.0) * cold * slowness / f64::from(target.slots.max(1)) + remote;
         Load { busy: target.busy, flows: target.flows, cost }
     }
 }
--- a/crates/jasminecart-core/src/flow/token/target_state.rs
+++ b/crates/jasminecart-core/src/flow/token/target_state.rs
@@ -4,6 +4,7 @@
 
 use super::routing_token::RoutingToken;
 use super::silence::Silence;
+use super::slowness::Slowness;
 use crate::names::Name;
 use crate::time::Millis;
 use crate::version::ListedTarget;
@@ -31,6 +32,7 @@
     /// Requests in progress seen by this VM.
     pub(super) busy: u32,
     pub(super) silence: Silence,
+    pub(super) slowness: Slowness,
 }
 
 impl TargetState {
@@ -51,6 +53,7 @@
             flows: 0,
             busy: 0,
             silence: Silence::default(),
+            slowness: Slowness::default(),
         }
     }
 
@@ -59,6 +62,7 @@
         self.flows = earlier.flows;
         self.busy = earlier.busy;
         self.silence = earlier.silence.clone();
+        self.slowness = earlier.slowness;
         self
     }
 }
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -1,10 +1,12 @@
 //! Log lines about decisions and changes of belief.
 
-use jasminecart_core::flow::token::{ClientSegment, Decision, DropCause, FlowId, ResetCause};
+use jasminecart_core::flow::token::{
+    Answered, ClientSegment, Decision, DropCause, FlowId, ResetCause,
+};
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{Effect, Revision};
-use log::info;
+use log::{debug, info};
 
 use crate::edges::SegmentError;
 use crate::metrics::Metrics;
@@ -103,6 +105,16 @@
     }
 }
 
+/// Reports an answered request at the level for debugging, because there is one for each request.
+pub(crate) fn answered(segment: &ClientSegment, answered: &Answered) {
+    debug!(
+        event = "request-answered", flow = flow(&segment.flow).as_str(),
+        route = answered.route.as_str(), target = answered.target.as_str(),
+        latency_ms = answered.latency.get(), opened = answered.opened;
+        "a request was answered"
+    );
+}
+
 /// What the VM believed when it decided: how old and of which revision.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Beliefs {
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -118,9 +118,10 @@
         self.send(destination.address);
         let metrics = &self.shared.metrics;
         metrics.forwarded.inc();
-        if let Some((route, latency)) = self.router.take_answered() {
-            let label = RouteLabel { route: route.to_string() };
-            metrics.latency.get_or_create(&label).observe(latency.as_secs_f64());
+        if let Some(answered) = self.router.take_answered() {
+            let label = RouteLabel { route: answered.route.to_string() };
+            metrics.latency.get_or_create(&label).observe(answered.latency.as_secs_f64());
+            events::answered(segment, &answered);
         }
         let Some(decision) = self.router.take_decision() else { return };
         let label = RouteLabel { route: decision.route.to_string() };
