Suspect targets and data centres that do not answer

Change: a repeated packet is evidence while nothing was heard from the target since the original was forwarded. From two points on new flows go elsewhere, with a trial by one repeatable flow after 1 to 4 s; from three points on repeatable flows that wait are reset, so that their clients try elsewhere at once. Four points without any answer suspect the whole data centre. Requests that run once at most keep their flow, since a reset would only end them.

Ruled out: resets after a pause of this process, since original and repetition are then read at once.

--- a/crates/jasminecart-bench/src/documents.rs
+++ b/crates/jasminecart-bench/src/documents.rs
@@ -218,7 +218,7 @@
                 self.steps(vm, steps);
             }
             for vm in 0..self.vms.len() {
-                if (self.now.get() + vm as u64 * 7) % TICK.get() == 0 {
+                if (self.now.get() + vm as u64 * 7).is_multiple_of(TICK.get()) {
                     let events = self.vms[vm].membership.tick(self.now);
                     self.events(vm, events);
                     let steps = self.vms[vm].adoption.tick(self.now);
--- a/crates/jasminecart-bench/src/flows/network.rs
+++ b/crates/jasminecart-bench/src/flows/network.rs
@@ -331,7 +331,7 @@
             }
             self.open_due();
             self.send_due(period);
-            if self.now % TICK == 0 {
+            if self.now.is_multiple_of(TICK) {
                 self.tick();
             }
         }
@@ -497,7 +497,7 @@
             self.send(vm, messages);
             self.join(vm);
             self.stop(vm);
-            if self.now % CONTROL_WINDOW == 0 {
+            if self.now.is_multiple_of(CONTROL_WINDOW) {
                 let counters = self.vms[vm].router.counters();
                 let control = counters.hint_bytes + counters.repair_bytes + counters.sync_bytes;
                 let vm = &mut self.vms[vm];
--- a/crates/jasminecart-bench/src/membership.rs
+++ b/crates/jasminecart-bench/src/membership.rs
@@ -114,7 +114,7 @@
                 self.deliver(message);
             }
             for number in 0..self.vms.len() {
-                if (self.now.get() + number as u64 * 7) % TICK.get() == 0 {
+                if (self.now.get() + number as u64 * 7).is_multiple_of(TICK.get()) {
                     self.tick(number);
                 }
             }
--- a/crates/jasminecart-bench/src/requests/sim.rs
+++ b/crates/jasminecart-bench/src/requests/sim.rs
@@ -412,7 +412,7 @@
 
     /// Tells whether a target fails every request at a time.
     fn fails(&self, target: usize, time: u64) -> bool {
-        let failing = self.scenario.fault == Fault::Failing && target % 5 == 0;
+        let failing = self.scenario.fault == Fault::Failing && target.is_multiple_of(5);
         failing && time >= self.scenario.from && time % 40_000 < 20_000
     }
 
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -22,6 +22,11 @@
     pub(super) acked: u32,
     /// Whether the client has sent anything but openings.
     pub(super) established: bool,
+    /// Whether copies of the opening went to more than one target. A late answer of the other one makes the
+    /// client echo a token that is not the flow's.
+    pub(super) moved: bool,
+    /// How often the client repeated a part of the request in progress.
+    pub(super) repeats: u8,
 }
 
 /// A bounded table of observed flows.
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -11,12 +11,15 @@
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::routing_token::RoutingToken;
 use super::segment::{ClientSegment, FlowId, SegmentKind};
+use super::silence::{Repetition, Silence, Trust};
 use super::slowness::RouteLatencies;
 use super::steering::{Choice, Steering};
 use super::target_state::TargetState;
 use crate::names::{Name, VmId};
 use crate::time::Millis;
-use crate::version::{Effect, Revision, RouteRule, Routes, TargetChange, TargetList, TargetRecord};
+use crate::version::{
+    Effect, Repeatable, Revision, RouteRule, Routes, TargetChange, TargetList, TargetRecord,
+};
 
 /// Bounds of a [`TokenRouter`].
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +68,8 @@
     NoTarget,
     /// The target of the flow is gone.
     TargetGone,
+    /// The target of the flow is silent, and the client may repeat its request at another one.
+    TargetSilent,
 }
 
 /// What happens to a packet.
@@ -121,6 +126,8 @@
     pub resets: u64,
     /// Packets that were dropped.
     pub dropped: u64,
+    /// How often a target became suspected of not answering.
+    pub suspicions: u64,
     /// Targets that get no new flows, because another target has the same token.
     pub ambiguous_targets: u64,
 }
@@ -135,6 +142,8 @@
     by_token: HashMap<RoutingToken, usize>,
     by_service: HashMap<Name, Vec<usize>>,
     flows: OpenFlows,
+    /// The silence of whole data centres, which a cut between them causes.
+    data_centres: HashMap<Name, Silence>,
     latencies: RouteLatencies,
     steering: Steering,
     rng: ChaCha8Rng,
@@ -156,6 +165,7 @@
             by_token: HashMap::new(),
             by_service: HashMap::new(),
             flows: OpenFlows::default(),
+            data_centres: HashMap::new(),
             latencies: RouteLatencies::default(),
             steering: Steering::new(me.data_centre.clone(), steering_rng),
             rng,
@@ -289,10 +299,18 @@
         let Some(service) = self.pick_service(rule) else {
             return Verdict::Reset(ResetCause::NoTarget);
         };
+        let may_try = rule.repeatable == Repeatable::Always;
+        self.update_trust(now, &service);
         let members = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let Some(choice) = self.steering.choose(now, &self.targets, members, earlier) else {
-            return Verdict::Reset(ResetCause::NoTarget);
-        };
+        let choice = self.steering.choose(now, &self.targets, members, earlier, may_try);
+        let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
+        if self.targets[choice.index].trust == Trust::Trial {
+            let target = &mut self.targets[choice.index];
+            target.silence.on_trial();
+            if let Some(silence) = self.data_centres.get_mut(&target.data_centre) {
+                silence.on_trial();
+            }
+        }
         self.counters.openings += 1;
         self.counters.repeated_openings += u64::from(copy > 0);
         let instead_of = earlier.filter(|index| *index != choice.index);
@@ -304,7 +322,7 @@
             instead_of: instead_of.map(|index| self.targets[index].name.clone()),
             version,
         });
-        self.observe_opening(now, segment, choice.index);
+        self.observe_opening(now, segment, choice.index, instead_of.is_some());
         Verdict::Forward(self.destination(choice.index))
     }
 
@@ -313,12 +331,47 @@
         if copy == 0 {
             return None;
         }
-        let target = self.flows.get_mut(flow)?.target;
+        let earlier = self.flows.get_mut(flow)?;
+        let (target, sent_at) = (earlier.target, earlier.last_at);
         let index = *self.by_token.get(&target)?;
-        self.targets[index].silence.on_repeated_opening(now);
+        self.on_repetition(now, index, sent_at, Repetition::Opening);
         Some(index)
     }
 
+    fn on_repetition(
+        &mut self,
+        now: Millis,
+        index: usize,
+        sent_at: Millis,
+        repetition: Repetition,
+    ) {
+        let target = &mut self.targets[index];
+        let data_centre = self.data_centres.entry(target.data_centre.clone()).or_default();
+        data_centre.on_repetition(now, sent_at, repetition);
+        if target.silence.on_repetition(now, sent_at, repetition) {
+            self.counters.suspicions += 1;
+        }
+    }
+
+    fn on_progress(&mut self, now: Millis, index: usize) {
+        let target = &mut self.targets[index];
+        target.silence.on_progress(now);
+        if let Some(silence) = self.data_centres.get_mut(&target.data_centre) {
+            silence.on_progress(now);
+        }
+    }
+
+    /// Works out which targets of a service may get new flows.
+    fn update_trust(&mut self, now: Millis, service: &Name) {
+        let Some(members) = self.by_service.get(service) else { return };
+        for &index in members {
+            let target = &mut self.targets[index];
+            let cut = self.data_centres.get(&target.data_centre).filter(|silence| silence.is_cut());
+            let trust = cut.map_or(Trust::Trusted, |silence| silence.trust(now));
+            target.trust = target.silence.trust(now).max(trust);
+        }
+    }
+
     /// Picks a service of the route by the shares of those that have targets.
     fn pick_service(&mut self, rule: &RouteRule) -> Option<Name> {
         let mut open = rule.services.iter().filter(|(name, share)| {
@@ -344,6 +397,7 @@
 
     fn pass_on(&mut self, now: Millis, segment: &ClientSegment, rule: &RouteRule) -> Verdict {
         let Some(token) = segment.token else { return Verdict::Drop(DropCause::NoToken) };
+        let token = self.flow_token(&segment.flow, token);
         let Some(&index) = self.by_token.get(&token) else {
             return Verdict::Drop(DropCause::UnknownToken);
         };
@@ -355,17 +409,36 @@
             self.end(&segment.flow);
             return Verdict::Reset(ResetCause::TargetGone);
         }
-        self.counters.forwarded += 1;
         self.observe(now, segment, index, rule);
+        if self.is_lost(&segment.flow, index, rule) {
+            self.end(&segment.flow);
+            return Verdict::Reset(ResetCause::TargetSilent);
+        }
+        self.counters.forwarded += 1;
         Verdict::Forward(self.destination(index))
     }
 
+    /// Returns the token of the target that a flow was opened at. The client echoes that of another one
+    /// when copies of its opening were answered by both.
+    fn flow_token(&mut self, flow: &FlowId, echoed: RoutingToken) -> RoutingToken {
+        let known = self.flows.get_mut(flow).filter(|flow| flow.established && flow.moved);
+        known.map_or(echoed, |flow| flow.target)
+    }
+
+    /// Tells whether a flow waits for a target that is surely silent, and its client may repeat the request
+    /// elsewhere. A request that runs once at most keeps its flow, since a reset would only end it.
+    fn is_lost(&mut self, flow: &FlowId, index: usize, rule: &RouteRule) -> bool {
+        rule.repeatable == Repeatable::Always
+            && self.targets[index].silence.is_certain()
+            && self.flows.get_mut(flow).is_some_and(|flow| flow.repeats > 0)
+    }
+
     fn destination(&self, index: usize) -> Destination {
         let target = &self.targets[index];
         Destination { address: target.address, label: target.label, token: target.token }
     }
 
-    fn observe_opening(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
+    fn observe_opening(&mut self, now: Millis, segment: &ClientSegment, index: usize, moved: bool) {
         self.end(&segment.flow);
         if self.flows.len() >= self.limits.max_flows {
             return;
@@ -378,6 +451,8 @@
             sent: segment.seq,
             acked: 0,
             established: false,
+            moved,
+            repeats: 0,
         };
         self.targets[index].flows += 1;
         self.targets[index].busy += 1;
@@ -401,22 +476,37 @@
             return;
         };
         flow.last_at = now;
-        let progress = flow.established && segment.ack != flow.acked;
         let first = !flow.established;
+        let progress = first || segment.ack != flow.acked;
         flow.established = true;
         flow.acked = segment.ack;
         let end = segment.seq.wrapping_add(u32::from(segment.payload));
-        let target = &mut self.targets[index];
-        if first || progress {
-            target.silence.on_progress();
+        let repeated = segment.payload > 0 && !first && !is_after(end, flow.sent);
+        if progress {
+            flow.repeats = 0;
         }
-        if segment.payload > 0 {
+        let mut answered_at = None;
+        let mut repetition = None;
+        if repeated {
+            flow.repeats = flow.repeats.saturating_add(1);
+            repetition = flow.request_at.map(|at| (at, Repetition::Request(flow.repeats)));
+        } else if segment.payload > 0 {
             flow.sent = end;
             if flow.request_at.is_none() {
                 flow.request_at = Some(now);
-                target.busy += 1;
+                self.targets[index].busy += 1;
             }
-        } else if progress && let Some(request_at) = flow.request_at.take() {
+        } else if progress && !first {
+            answered_at = flow.request_at.take();
+        }
+        if progress {
+            self.on_progress(now, index);
+        }
+        if let Some((sent_at, repetition)) = repetition {
+            self.on_repetition(now, index, sent_at, repetition);
+        }
+        if let Some(request_at) = answered_at {
+            let target = &mut self.targets[index];
             target.busy = target.busy.saturating_sub(1);
             self.note_answer(now, index, rule, now.since(request_at), false);
         }
@@ -454,6 +544,8 @@
             sent: segment.seq.wrapping_add(u32::from(segment.payload)),
             acked: segment.ack,
             established: true,
+            moved: false,
+            repeats: 0,
         };
         self.flows.insert(segment.flow, flow);
     }
@@ -503,3 +595,8 @@
         }
     }
 }
+
+/// Tells whether a sequence number comes after another, across the end of their range.
+fn is_after(seq: u32, other: u32) -> bool {
+    (seq.wrapping_sub(other) as i32) > 0
+}
--- a/crates/jasminecart-core/src/flow/token/steering.rs
+++ b/crates/jasminecart-core/src/flow/token/steering.rs
@@ -3,6 +3,7 @@
 use rand::RngExt as _;
 use rand_chacha::ChaCha8Rng;
 
+use super::silence::Trust;
 use super::target_state::TargetState;
 use crate::names::Name;
 use crate::time::Millis;
@@ -53,18 +54,22 @@
     }
 
     /// Chooses among the targets at `members`. `avoid` is the target that left an earlier copy of the same
-    /// opening unanswered. Suspected targets are chosen only when there is no other.
+    /// opening unanswered, and `may_try` tells whether the flow may find out whether a silent target is back.
+    /// Suspected targets are chosen only when there is no other.
     pub(super) fn choose(
         &mut self,
         now: Millis,
         targets: &[TargetState],
         members: &[usize],
         avoid: Option<usize>,
+        may_try: bool,
     ) -> Option<Choice> {
         let usable = |index: &&usize| targets[**index].takes_flows && !targets[**index].ambiguous;
         let candidates = members.iter().filter(usable).count();
         let trusted = |index: &&usize| {
-            usable(index) && Some(**index) != avoid && !targets[**index].silence.is_suspect(now)
+            let trust = targets[**index].trust;
+            let allowed = trust == Trust::Trusted || (may_try && trust == Trust::Trial);
+            usable(index) && Some(**index) != avoid && allowed
         };
         let best = self.cheapest(now, targets, members.iter().filter(trusted));
         let all_suspect = best.is_none();
--- a/crates/jasminecart-core/src/flow/token/target_state.rs
+++ b/crates/jasminecart-core/src/flow/token/target_state.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::routing_token::RoutingToken;
-use super::silence::Silence;
+use super::silence::{Silence, Trust};
 use super::slowness::Slowness;
 use crate::names::Name;
 use crate::time::Millis;
@@ -32,6 +32,9 @@
     /// Requests in progress seen by this VM.
     pub(super) busy: u32,
     pub(super) silence: Silence,
+    /// What new flows may do with it, by its own silence and that of its data centre. Kept here because
+    /// every opening asks it of every target.
+    pub(super) trust: Trust,
     pub(super) slowness: Slowness,
 }
 
@@ -53,6 +56,7 @@
             flows: 0,
             busy: 0,
             silence: Silence::default(),
+            trust: Trust::Trusted,
             slowness: Slowness::default(),
         }
     }
--- a/crates/jasminecart-core/src/process/exchange.rs
+++ b/crates/jasminecart-core/src/process/exchange.rs
@@ -95,7 +95,7 @@
             return;
         }
         self.schedule.summaries = self.schedule.summaries.wrapping_add(1);
-        let any_vm = self.schedule.summaries % ANY_VM_SUMMARY == 0;
+        let any_vm = self.schedule.summaries.is_multiple_of(ANY_VM_SUMMARY);
         for data_centre in self.other_data_centres() {
             let live: BTreeSet<&VmId> =
                 self.table.live(&data_centre).map(|record| &record.member.vm).collect();
--- a/crates/jasminecart-core/src/version/adoption/sections.rs
+++ b/crates/jasminecart-core/src/version/adoption/sections.rs
@@ -43,11 +43,11 @@
 }
 
 fn push_copy(pieces: &mut Vec<Piece>, position: u32) {
-    if let Some(Piece::Copy { first, count }) = pieces.last_mut() {
-        if *first + *count == position {
-            *count += 1;
-            return;
-        }
+    if let Some(Piece::Copy { first, count }) = pieces.last_mut()
+        && *first + *count == position
+    {
+        *count += 1;
+        return;
     }
     pieces.push(Piece::Copy { first: position, count: 1 });
 }
--- a/crates/jasminecart-core/tests/adoption_net/mod.rs
+++ b/crates/jasminecart-core/tests/adoption_net/mod.rs
@@ -152,14 +152,14 @@
                 .collect::<Vec<_>>()
             {
                 let phase = self.now.get() + number as u64 * 7;
-                if phase % 1_000 == 0 {
+                if phase.is_multiple_of(1_000) {
                     let revisions =
                         (0..self.vms.len()).map(|n| (n, self.revision(n).unwrap_or_default()));
                     let members = list(number, revisions);
                     let steps = self.vms[number].set_members(self.now, &members);
                     self.carry_out(number, steps);
                 }
-                if phase % 50 == 0 {
+                if phase.is_multiple_of(50) {
                     let steps = self.vms[number].tick(self.now);
                     self.carry_out(number, steps);
                 }
--- a/crates/jasminecart-core/tests/membership_net/mod.rs
+++ b/crates/jasminecart-core/tests/membership_net/mod.rs
@@ -98,7 +98,7 @@
                 self.deliver(from, to, message);
             }
             for number in self.vms.keys().copied().collect::<Vec<_>>() {
-                let due = (self.now.get() + number as u64 * 7) % TICK == 0;
+                let due = (self.now.get() + number as u64 * 7).is_multiple_of(TICK);
                 if due && !self.is_paused(number) {
                     let events = self.vms.get_mut(&number).unwrap().tick(self.now);
                     self.carry_out(number, events);
--- a/crates/jasminecart-core/tests/request/world.rs
+++ b/crates/jasminecart-core/tests/request/world.rs
@@ -196,7 +196,7 @@
                 let event = entry.remove();
                 self.handle(event);
             }
-            if self.now % TICK == 0 {
+            if self.now.is_multiple_of(TICK) {
                 (0..self.nodes.len()).for_each(|index| self.tick(index));
             }
         }
--- a/crates/jasminecart-entry/src/packet_listener.rs
+++ b/crates/jasminecart-entry/src/packet_listener.rs
@@ -244,10 +244,11 @@
                 self.counters.messages_lost += 1;
             }
         }
-        if self.drained.is_some() && self.router.is_drained() {
-            if let Some(drained) = self.drained.take() {
-                let _ = drained.send(());
-            }
+        if self.drained.is_some()
+            && self.router.is_drained()
+            && let Some(drained) = self.drained.take()
+        {
+            let _ = drained.send(());
         }
     }
 
--- a/crates/jasminecart-entry/src/request/listener.rs
+++ b/crates/jasminecart-entry/src/request/listener.rs
@@ -274,15 +274,15 @@
         Authority::try_from(host.as_bytes()).ok()
     });
     prepare_request(&mut headers);
-    if let Some(authority) = &authority {
-        if let Ok(host) = HeaderValue::from_str(authority.as_str()) {
-            headers.insert(HOST, host);
-        }
+    if let Some(authority) = &authority
+        && let Ok(host) = HeaderValue::from_str(authority.as_str())
+    {
+        headers.insert(HOST, host);
     }
-    if let Payload::Kept(bytes) = &payload {
-        if !bytes.is_empty() || headers.contains_key(CONTENT_LENGTH) {
-            headers.insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-        }
+    if let Payload::Kept(bytes) = &payload
+        && (!bytes.is_empty() || headers.contains_key(CONTENT_LENGTH))
+    {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
     }
     let path = parts.uri.path_and_query().cloned();
     let path = path.unwrap_or_else(|| PathAndQuery::from_static("/"));
--- a/crates/jasminecart-entry/src/request/run.rs
+++ b/crates/jasminecart-entry/src/request/run.rs
@@ -262,12 +262,12 @@
         for (id, outcome) in ended {
             self.cx.report(id, outcome).await;
         }
-        if refusal.reason == RefusalReason::KeyUsed {
-            if let Some(answer) = self.stored() {
-                count(&self.cx.metrics.counters.answers_from_store);
-                self.reply.send(answer.response());
-                return Ending::Stored;
-            }
+        if refusal.reason == RefusalReason::KeyUsed
+            && let Some(answer) = self.stored()
+        {
+            count(&self.cx.metrics.counters.answers_from_store);
+            self.reply.send(answer.response());
+            return Ending::Stored;
         }
         self.refuse(refusal.state, refusal.reason)
     }
@@ -542,10 +542,10 @@
 /// Sends the last part and the end of an answer. A client that closes its connection after the last part has
 /// received everything.
 async fn send_end(last: Option<Frame<Bytes>>, tx: &mpsc::Sender<Part>) -> Ending {
-    if let Some(last) = last {
-        if tx.send(Part::Frame(last)).await.is_err() {
-            return Ending::Cancelled;
-        }
+    if let Some(last) = last
+        && tx.send(Part::Frame(last)).await.is_err()
+    {
+        return Ending::Cancelled;
     }
     let _ = tx.send(Part::End).await;
     Ending::Done
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -146,6 +146,7 @@
         ResetCause::NoRoute => "no-route",
         ResetCause::NoTarget => "no-target",
         ResetCause::TargetGone => "target-gone",
+        ResetCause::TargetSilent => "target-silent",
     }
 }
 
--- a/crates/jasminecart-runtime/src/log_output.rs
+++ b/crates/jasminecart-runtime/src/log_output.rs
@@ -85,7 +85,7 @@
     }
 
     /// Returns how many lines were lost since the start of the process.
-    pub fn lost(&self) -> u64 {
+    pub fn lost_in_total(&self) -> u64 {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).lost_in_total
     }
 }
