Pass over readers that can't reach the store, and bound the age of a follower

The third VM took their beacons as current up to an age of 3.2 s and waited 1.5 s more before it read on its own, 4.7 s in all, where 3 s are allowed.

Change: a follower reads on its own when what it knows was confirmed more than 2.2 s ago, whoever it heard from since. Readers state each confirmation, watch for 1.5 s at most, and say when a call failed, so that the next member takes their place.

Ruled out: loss of messages between VMs (all beacons arrived).

--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Calls to the store are priced and its rate grows more slowly than the fleet, so that only
 //! [`SharingLimits::readers`] VMs of a data centre follow it. They announce what they know to the other
-//! members, which follow them. A member that hears of nothing current for [`SharingLimits::silence`] reads
-//! on its own, whatever the reason. `docs/platform.md`, "Readers", gives the figures.
+//! members, which follow them. A member whose knowledge was last confirmed more than
+//! [`SharingLimits::alone_after`] ago reads on its own, whatever the reason. A reader that can't reach the
+//! store says so, and the next member takes its place. `docs/platform.md`, "Readers", gives the figures.
 
 mod delta;
 mod parts;
@@ -25,24 +26,22 @@
 pub struct SharingLimits {
     /// How many VMs of a data centre follow the store. With two, the loss of one is not noticed.
     pub readers: usize,
-    /// The period in which a reader states what it knows, if nothing changed.
+    /// The period in which a reader repeats what it knows, if the store confirmed nothing since.
     pub beacon: Millis,
-    /// A member that has heard nothing current for this long reads on its own: three beacons.
-    pub silence: Millis,
-    /// The oldest confirmation by the store that counts as current. A watch confirms every 2 s.
-    pub current_within: Millis,
-    /// How long deletions are remembered. A member that was away for longer has to read everything.
-    pub history: Millis,
+    /// The age of the last confirmation by the store at which a member reads on its own. New routes have
+    /// to be in force within 3 s, of which this leaves 0.8 s for reading them.
+    pub alone_after: Millis,
+    /// How long a reader that can't reach the store is passed over.
+    pub passed_over: Millis,
 }
 
 impl Default for SharingLimits {
     fn default() -> Self {
         SharingLimits {
             readers: 2,
-            beacon: Millis(500),
-            silence: Millis(1_500),
-            current_within: Millis(3_200),
-            history: Millis::from_secs(60),
+            beacon: Millis(1_000),
+            alone_after: Millis(2_200),
+            passed_over: Millis(4_000),
         }
     }
 }
@@ -80,6 +79,8 @@
         revision: Revision,
         /// How long ago the store confirmed it.
         age: Millis,
+        /// Whether the sender reaches the store. If not, another member has to read in its place.
+        reachable: bool,
     },
     /// Asks for what changed after a revision.
     Ask {
@@ -169,14 +170,17 @@
     me: VmId,
     limits: SharingLimits,
     peers: Vec<VmId>,
+    eligible: Vec<VmId>,
+    /// Until when members are passed over, because they can't reach the store.
+    passed_over: BTreeMap<VmId, Millis>,
     is_reader: bool,
     position: Revision,
     /// The position at which something was last added to what this VM knows.
     changed_at: Revision,
     /// When the store last confirmed what this VM knows, as far as it can tell.
     confirmed_at: Option<Millis>,
-    /// When a peer last told something current.
-    peer_heard_at: Option<Millis>,
+    /// Whether a peer has ever confirmed what this VM knows.
+    has_heard: bool,
     source: Source,
     beacon_at: Millis,
     assemblies: BTreeMap<VmId, Assembly>,
@@ -191,11 +195,13 @@
             me,
             limits,
             peers: Vec::new(),
+            eligible: Vec::new(),
+            passed_over: BTreeMap::new(),
             is_reader: true,
             position: Revision(0),
             changed_at: Revision(0),
             confirmed_at: None,
-            peer_heard_at: None,
+            has_heard: false,
             source: Source::Alone,
             beacon_at: Millis::ZERO,
             assemblies: BTreeMap::new(),
@@ -206,26 +212,24 @@
 
     /// Takes the members of the data centre.
     pub fn set_members(&mut self, members: &Members) {
-        let me = &self.me;
-        let live = |vm: &&VmId| vm.data_centre == me.data_centre;
-        let eligible: Vec<&VmId> =
-            members.eligible().map(|member| &member.vm).filter(live).collect();
-        self.peers =
-            members.peers().map(|member| member.vm.clone()).filter(|vm| live(&vm)).collect();
-        let ranked = rendezvous::ranked("store readers", eligible);
-        self.is_reader = ranked.iter().take(self.limits.readers).any(|vm| *vm == me);
+        let near = |vm: &&VmId| vm.data_centre == self.me.data_centre;
+        let eligible = members.eligible().map(|member| &member.vm);
+        self.eligible = eligible.filter(near).cloned().collect();
+        self.peers = members.peers().map(|member| &member.vm).filter(near).cloned().collect();
         let peers = &self.peers;
         self.assemblies.retain(|vm, _| peers.contains(vm));
     }
 
     /// Returns how this VM has to keep its knowledge current.
     pub fn source(&mut self, now: Millis) -> Source {
-        let silent = self.peer_heard_at.is_none_or(|at| now.since(at) >= self.limits.silence);
-        let source = match (self.is_reader, self.position, silent) {
-            (true, _, _) => Source::Reader,
-            // Nothing is known yet: the store is the quickest source.
-            (false, Revision(0), _) | (false, _, true) => Source::Alone,
-            (false, _, false) => Source::Peers,
+        self.rank(now);
+        let stale = self.age(now) >= self.limits.alone_after;
+        let source = if self.is_reader {
+            Source::Reader
+        } else if self.position == Revision(0) || !self.has_heard || stale {
+            Source::Alone
+        } else {
+            Source::Peers
         };
         if source == Source::Alone && self.source == Source::Peers {
             self.counters.alone += 1;
@@ -234,6 +238,15 @@
         source
     }
 
+    /// Works out whether this VM is one of the readers.
+    fn rank(&mut self, now: Millis) {
+        self.passed_over.retain(|_, until| now < *until);
+        let passed_over = &self.passed_over;
+        let able = self.eligible.iter().filter(|vm| !passed_over.contains_key(vm));
+        let ranked = rendezvous::ranked("store readers", able);
+        self.is_reader = ranked.iter().take(self.limits.readers).any(|vm| **vm == self.me);
+    }
+
     /// Returns the revision up to which this VM knows everything.
     pub fn position(&self) -> Revision {
         self.position
@@ -264,12 +277,16 @@
             self.history.add(routes.clone());
         }
         self.confirmed_at = Some(now);
+        self.passed_over.remove(&self.me);
         if changed {
             self.changed_at = self.position;
         }
-        if !changed || !self.is_reader {
+        if !self.is_reader {
             return Vec::new();
         }
+        if !changed {
+            return self.state(now);
+        }
         let peers = self.peers.clone();
         let mut steps = Vec::new();
         for peer in peers {
@@ -279,6 +296,15 @@
         steps
     }
 
+    /// Notes that a call to the store failed. A reader tells its peers, so that another one takes its place.
+    pub fn on_store_failure(&mut self, now: Millis) -> Vec<SharingStep> {
+        if !self.is_reader {
+            return Vec::new();
+        }
+        self.passed_over.insert(self.me.clone(), now + self.limits.passed_over);
+        self.state(now)
+    }
+
     /// Takes a message of a peer.
     pub fn on_message(
         &mut self,
@@ -292,7 +318,12 @@
         }
         match message {
             SharingMessage::Ask { after } => self.share(now, from, after, knowledge),
-            SharingMessage::Beacon { unchanged_since, revision, age } => {
+            SharingMessage::Beacon { unchanged_since, revision, age, reachable } => {
+                if reachable {
+                    self.passed_over.remove(from);
+                } else {
+                    self.passed_over.insert(from.clone(), now + self.limits.passed_over);
+                }
                 self.on_beacon(now, from, unchanged_since, revision, age)
             }
             SharingMessage::Share { after, upto, age, part, parts, items } => {
@@ -305,15 +336,23 @@
         }
     }
 
-    /// Does what is due. A VM that follows the store states what it knows.
+    /// Does what is due: a reader repeats what it knows.
     pub fn tick(&mut self, now: Millis) -> Vec<SharingStep> {
-        let age = self.age(now);
-        if !self.is_reader || now < self.beacon_at || age > self.limits.current_within {
+        if !self.is_reader || now < self.beacon_at || self.position == Revision(0) {
             return Vec::new();
         }
+        self.state(now)
+    }
+
+    /// Tells all peers what this VM knows, and how old it is.
+    fn state(&mut self, now: Millis) -> Vec<SharingStep> {
         self.beacon_at = now + self.limits.beacon;
-        let (unchanged_since, revision) = (self.changed_at, self.position);
-        let beacon = SharingMessage::Beacon { unchanged_since, revision, age };
+        let beacon = SharingMessage::Beacon {
+            unchanged_since: self.changed_at,
+            revision: self.position,
+            age: self.age(now),
+            reachable: !self.passed_over.contains_key(&self.me),
+        };
         let peers = self.peers.clone();
         peers.iter().map(|peer| self.send(peer, beacon.clone())).collect()
     }
@@ -339,12 +378,8 @@
 
     /// Notes that a peer confirms what this VM knows.
     fn confirm(&mut self, now: Millis, age: Millis) {
-        if age > self.limits.current_within {
-            return;
-        }
-        self.peer_heard_at = Some(now);
-        let confirmed = now - age;
-        self.confirmed_at = self.confirmed_at.max(Some(confirmed));
+        self.has_heard = true;
+        self.confirmed_at = self.confirmed_at.max(Some(now - age));
     }
 
     #[allow(clippy::too_many_arguments)] // The fields of one message and where it came from.
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -76,6 +76,12 @@
                 self.forwarder.set_directory_returned(now);
                 return;
             }
+            Update::Failed => {
+                let steps = self.sharing.on_store_failure(now);
+                self.carry_out(now, steps);
+                self.after_change(now);
+                return;
+            }
             Update::Read(snapshot) => {
                 (snapshot.revision, self.forwarder.take_snapshot(now, snapshot))
             }
--- a/crates/jasminecart-forward/src/feed.rs
+++ b/crates/jasminecart-forward/src/feed.rs
@@ -15,7 +15,8 @@
 /// Periods of calls to the directory.
 #[derive(Clone, Copy, Debug)]
 pub struct FeedLimits {
-    /// How long the directory holds a watch back. It bounds how long a silent connection goes unnoticed.
+    /// How long the directory holds a watch back. It bounds how long a silent connection goes unnoticed,
+    /// and stays below the age at which members that follow a reader read on their own.
     pub watch_wait: Millis,
     /// The first and the longest delay after a failed call. The longest keeps a VM that is back in touch
     /// current within the second that adoption bounds leave.
@@ -27,7 +28,7 @@
 impl Default for FeedLimits {
     fn default() -> Self {
         FeedLimits {
-            watch_wait: Millis(2_000),
+            watch_wait: Millis(1_500),
             first_backoff: Duration::from_millis(50),
             longest_backoff: Duration::from_millis(500),
         }
@@ -52,6 +53,8 @@
     Changed(Changes),
     /// The directory answers again after it failed.
     Regained,
+    /// A call to the directory failed.
+    Failed,
 }
 
 /// Reads the directory and follows its changes as ordered, until the daemon is gone.
@@ -119,10 +122,7 @@
             };
             let there = match step {
                 Ok(update) => self.on_answer(update, tx).await,
-                Err(error) => {
-                    self.on_failure(error, metrics).await;
-                    !tx.is_closed()
-                }
+                Err(error) => self.on_failure(error, metrics, tx).await,
             };
             if !there {
                 return;
@@ -143,23 +143,33 @@
         self.position = match &update {
             Update::Read(snapshot) => Some(snapshot.revision),
             Update::Changed(changes) => self.position.max(Some(changes.revision)),
-            Update::Regained => self.position,
+            Update::Regained | Update::Failed => self.position,
         };
         tx.send(update).await.is_ok()
     }
 
-    async fn on_failure(&mut self, error: DirectoryError, metrics: &Metrics) {
+    /// Waits before the next call. Returns whether the daemon is still there.
+    async fn on_failure(
+        &mut self,
+        error: DirectoryError,
+        metrics: &Metrics,
+        tx: &mpsc::Sender<Update>,
+    ) -> bool {
         metrics.directory_failures.inc();
         let cause = error.to_string();
         if matches!(error, DirectoryError::HistoryLost) {
             info!(event = "directory-history-lost"; "the directory is read anew");
             self.position = None;
-            return;
+            return !tx.is_closed();
         }
         if !self.failing {
             warn!(event = "directory-lost", cause = cause.as_str(); "a call to the directory failed");
         }
         self.failing = true;
+        if tx.send(Update::Failed).await.is_err() {
+            return false;
+        }
         tokio::time::sleep(self.backoff.next_delay()).await;
+        true
     }
 }
