Count evidence of a request from its data, and settle moved flows

Cause: a flow's first request was timed from its opening, which the target's SYN+ACK follows, so that repetitions of first requests never counted as evidence (found by the test of feeds at a dead target). A flow whose opening went to two targets was observed at the wrong one until it ended.

Change: a flow keeps when its unacknowledged data was first sent, and moves to the target whose token the client echoes first.

--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -6,7 +6,8 @@
 use std::collections::HashMap;
 
 use super::routing_token::RoutingToken;
-use super::segment::FlowId;
+use super::segment::{ClientSegment, FlowId};
+use super::silence::Repetition;
 use crate::time::Millis;
 
 /// What this VM saw of one flow.
@@ -14,12 +15,15 @@
 pub(super) struct OpenFlow {
     pub(super) target: RoutingToken,
     pub(super) last_at: Millis,
-    /// When the client sent the first byte of a request that has not been answered yet.
+    /// When the client sent the first packet of a request that has not been answered yet. For the first
+    /// request of a flow that is the opening.
     pub(super) request_at: Option<Millis>,
+    /// When the client sent the first data since the target was last heard from on this flow.
+    waiting_since: Option<Millis>,
     /// The highest sequence number after the client's data.
-    pub(super) sent: u32,
+    sent: u32,
     /// The last acknowledgement of the client.
-    pub(super) acked: u32,
+    acked: u32,
     /// Whether the client has sent anything but openings.
     pub(super) established: bool,
     /// Whether copies of the opening went to more than one target. A late answer of the other one makes the
@@ -29,6 +33,91 @@
     pub(super) repeats: u8,
 }
 
+/// What a segment of an open flow shows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Observation {
+    /// The client has received something from the target since its last segment.
+    pub(super) progress: bool,
+    /// The client repeated data that it first sent at the given time.
+    pub(super) repetition: Option<(Millis, Repetition)>,
+    /// The client began a request.
+    pub(super) request: bool,
+    /// The client acknowledged the answer to a request that it began at the given time.
+    pub(super) answered: Option<Millis>,
+}
+
+impl OpenFlow {
+    /// Notes an opening. A client opens a flow for a request that it sends at once.
+    pub(super) fn opened(now: Millis, target: RoutingToken, segment: &ClientSegment) -> OpenFlow {
+        OpenFlow {
+            target,
+            last_at: now,
+            request_at: Some(now),
+            waiting_since: None,
+            sent: segment.seq,
+            acked: 0,
+            established: false,
+            moved: false,
+            repeats: 0,
+        }
+    }
+
+    /// Notes a flow that was opened through another VM.
+    pub(super) fn adopted(now: Millis, target: RoutingToken, segment: &ClientSegment) -> OpenFlow {
+        let began_at = (segment.payload > 0).then_some(now);
+        OpenFlow {
+            target,
+            last_at: now,
+            request_at: began_at,
+            waiting_since: began_at,
+            sent: end_of(segment),
+            acked: segment.ack,
+            established: true,
+            moved: false,
+            repeats: 0,
+        }
+    }
+
+    /// Takes a segment that follows the opening.
+    pub(super) fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Observation {
+        let first = !self.established;
+        let mut seen =
+            Observation { progress: first || segment.ack != self.acked, ..Observation::default() };
+        self.last_at = now;
+        self.established = true;
+        self.acked = segment.ack;
+        if seen.progress {
+            self.repeats = 0;
+            self.waiting_since = None;
+        }
+        let end = end_of(segment);
+        if segment.payload == 0 {
+            if seen.progress && !first {
+                seen.answered = self.request_at.take();
+            }
+        } else if first || is_after(end, self.sent) {
+            self.sent = end;
+            self.waiting_since.get_or_insert(now);
+            seen.request = self.request_at.is_none();
+            self.request_at.get_or_insert(now);
+        } else {
+            self.repeats = self.repeats.saturating_add(1);
+            let repetition = Repetition::Request(self.repeats);
+            seen.repetition = self.waiting_since.map(|at| (at, repetition));
+        }
+        seen
+    }
+}
+
+fn end_of(segment: &ClientSegment) -> u32 {
+    segment.seq.wrapping_add(u32::from(segment.payload))
+}
+
+/// Tells whether a sequence number comes after another, across the end of their range.
+fn is_after(seq: u32, other: u32) -> bool {
+    (seq.wrapping_sub(other) as i32) > 0
+}
+
 /// A bounded table of observed flows.
 #[derive(Debug, Default)]
 pub(super) struct OpenFlows {
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -439,77 +439,75 @@
     }
 
     fn observe_opening(&mut self, now: Millis, segment: &ClientSegment, index: usize, moved: bool) {
-        self.end(&segment.flow);
+        let earlier = self.end(&segment.flow);
         if self.flows.len() >= self.limits.max_flows {
             return;
         }
-        let flow = OpenFlow {
-            target: self.targets[index].token,
-            last_at: now,
-            // A client opens a flow for a request that it sends at once.
-            request_at: Some(now),
-            sent: segment.seq,
-            acked: 0,
-            established: false,
-            moved,
-            repeats: 0,
-        };
-        self.targets[index].flows += 1;
-        self.targets[index].busy += 1;
+        let target = &mut self.targets[index];
+        let mut flow = OpenFlow::opened(now, target.token, segment);
+        flow.moved = moved || earlier.is_some_and(|earlier| !earlier.established && earlier.moved);
+        target.flows += 1;
+        target.busy += 1;
         self.flows.insert(segment.flow, flow);
     }
 
     fn observe(&mut self, now: Millis, segment: &ClientSegment, index: usize, rule: &RouteRule) {
-        if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort) {
-            let flow = self.end(&segment.flow);
-            let request_at = flow.and_then(|flow| flow.request_at);
-            let finished = segment.kind == SegmentKind::Finish;
-            if let Some(request_at) = request_at.filter(|_| finished) {
-                self.note_answer(now, index, rule, now.since(request_at), true);
-            }
-            return;
-        }
+        self.settle(&segment.flow, index);
         let token = self.targets[index].token;
         let known = self.flows.get_mut(&segment.flow).filter(|flow| flow.target == token);
         let Some(flow) = known else {
             self.adopt(now, segment, index);
             return;
         };
-        flow.last_at = now;
-        let first = !flow.established;
-        let progress = first || segment.ack != flow.acked;
-        flow.established = true;
-        flow.acked = segment.ack;
-        let end = segment.seq.wrapping_add(u32::from(segment.payload));
-        let repeated = segment.payload > 0 && !first && !is_after(end, flow.sent);
-        if progress {
-            flow.repeats = 0;
-        }
-        let mut answered_at = None;
-        let mut repetition = None;
-        if repeated {
-            flow.repeats = flow.repeats.saturating_add(1);
-            repetition = flow.request_at.map(|at| (at, Repetition::Request(flow.repeats)));
-        } else if segment.payload > 0 {
-            flow.sent = end;
-            if flow.request_at.is_none() {
-                flow.request_at = Some(now);
-                self.targets[index].busy += 1;
-            }
-        } else if progress && !first {
-            answered_at = flow.request_at.take();
-        }
-        if progress {
+        let seen = flow.on_segment(now, segment);
+        self.targets[index].busy += u32::from(seen.request);
+        if seen.progress {
             self.on_progress(now, index);
         }
-        if let Some((sent_at, repetition)) = repetition {
+        if let Some((sent_at, repetition)) = seen.repetition {
             self.on_repetition(now, index, sent_at, repetition);
         }
-        if let Some(request_at) = answered_at {
+        if let Some(request_at) = seen.answered {
             let target = &mut self.targets[index];
             target.busy = target.busy.saturating_sub(1);
             self.note_answer(now, index, rule, now.since(request_at), false);
         }
+        let finished = segment.kind == SegmentKind::Finish;
+        if finished || segment.kind == SegmentKind::Abort {
+            let request_at = self.end(&segment.flow).and_then(|flow| flow.request_at);
+            if let Some(request_at) = request_at.filter(|_| finished) {
+                self.note_answer(now, index, rule, now.since(request_at), true);
+            }
+        }
+    }
+
+    /// Moves a flow whose opening went to several targets to the one that the client opened it at.
+    fn settle(&mut self, id: &FlowId, index: usize) {
+        let token = self.targets[index].token;
+        let unsettled =
+            |flow: &&mut OpenFlow| flow.moved && !flow.established && flow.target != token;
+        let Some(flow) = self.flows.get_mut(id).filter(unsettled) else { return };
+        let mut settled = *flow;
+        settled.target = token;
+        self.end(id);
+        self.targets[index].flows += 1;
+        self.targets[index].busy += u32::from(settled.request_at.is_some());
+        self.flows.insert(*id, settled);
+    }
+
+    /// Observes a flow that was opened through another VM.
+    fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
+        self.end(&segment.flow);
+        if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort)
+            || self.flows.len() >= self.limits.max_flows
+        {
+            return;
+        }
+        let target = &mut self.targets[index];
+        let flow = OpenFlow::adopted(now, target.token, segment);
+        target.flows += 1;
+        target.busy += u32::from(flow.request_at.is_some());
+        self.flows.insert(segment.flow, flow);
     }
 
     /// Learns from a request whose answer the client acknowledged.
@@ -527,29 +525,6 @@
         self.answered = Some(Answered { route, target, latency, opened });
     }
 
-    /// Observes a flow that was opened through another VM.
-    fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
-        self.end(&segment.flow);
-        if self.flows.len() >= self.limits.max_flows {
-            return;
-        }
-        let target = &mut self.targets[index];
-        let request_at = (segment.payload > 0).then_some(now);
-        target.flows += 1;
-        target.busy += u32::from(request_at.is_some());
-        let flow = OpenFlow {
-            target: target.token,
-            last_at: now,
-            request_at,
-            sent: segment.seq.wrapping_add(u32::from(segment.payload)),
-            acked: segment.ack,
-            established: true,
-            moved: false,
-            repeats: 0,
-        };
-        self.flows.insert(segment.flow, flow);
-    }
-
     fn end(&mut self, flow: &FlowId) -> Option<OpenFlow> {
         let flow = self.flows.remove(flow)?;
         self.forget(&flow);
@@ -595,8 +570,3 @@
         }
     }
 }
-
-/// Tells whether a sequence number comes after another, across the end of their range.
-fn is_after(seq: u32, other: u32) -> bool {
-    (seq.wrapping_sub(other) as i32) > 0
-}
--- a/crates/jasminecart-core/src/flow/token/silence.rs
+++ b/crates/jasminecart-core/src/flow/token/silence.rs
@@ -62,7 +62,7 @@
 /// What the flows through this VM say about one target or data centre.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Silence {
-    heard_at: Millis,
+    heard_at: Option<Millis>,
     evidence: u32,
     avoid_until: Millis,
     avoidance: Millis,
@@ -73,7 +73,7 @@
 impl Silence {
     /// Notes that a client acknowledged something that the target sent.
     pub(super) fn on_progress(&mut self, now: Millis) {
-        *self = Silence { heard_at: now, ..Silence::default() };
+        *self = Silence { heard_at: Some(now), ..Silence::default() };
     }
 
     /// Notes a repetition of a packet that was first forwarded at `sent_at`. Returns whether the target
@@ -84,7 +84,7 @@
         sent_at: Millis,
         repetition: Repetition,
     ) -> bool {
-        if sent_at <= self.heard_at || now.since(sent_at) < LEAST_WAIT {
+        if self.heard_at.is_some_and(|at| sent_at <= at) || now.since(sent_at) < LEAST_WAIT {
             return false;
         }
         let before = self.evidence;
--- /dev/null
+++ b/crates/jasminecart-core/tests/sharing.rs
@@ -0,0 +1,401 @@
+//! Sharing of what a few VMs read from the store: everyone current, few calls, no reader a single point.
+
+mod token_support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use jasminecart_core::process::{Member, MemberState, Members, PeerAddress};
+use jasminecart_core::version::{
+    Knowledge, Revision, Routes, SharedChanges, Sharing, SharingLimits, SharingMessage,
+    SharingStep, Source, TargetChange, TargetList,
+};
+use jasminecart_core::{Incarnation, Millis, Name, VmId};
+use proptest::prelude::*;
+use test_case::test_case;
+use token_support::{FEED, UPLOAD, routes, target};
+
+const TICK: Millis = Millis(100);
+/// The time within which new routes have to be in force.
+const APPLY_WITHIN: Millis = Millis(3_000);
+const WATCH_WAIT: Millis = Millis(1_500);
+
+struct Vm {
+    sharing: Sharing,
+    targets: TargetList,
+    routes: Option<Arc<Routes>>,
+    /// Whether the store answers this VM.
+    reaches_store: bool,
+    /// Whether the VM takes part at all.
+    running: bool,
+    watch_ends: Option<Millis>,
+    calls: u64,
+}
+
+/// A data centre of VMs, with a store that each follows as ordered.
+struct DataCentre {
+    now: Millis,
+    vms: BTreeMap<VmId, Vm>,
+    store: Vec<(Revision, TargetChange)>,
+    routes: Arc<Routes>,
+    messages: Vec<(VmId, VmId, SharingMessage)>,
+    /// Loses every n-th message.
+    lose: Option<usize>,
+    sent: usize,
+}
+
+impl DataCentre {
+    fn new(count: usize) -> DataCentre {
+        let ids: Vec<VmId> = (0..count).map(|n| VmId::new("east", format!("vm-{n}"))).collect();
+        let vms = ids.iter().map(|id| {
+            let sharing = Sharing::new(id.clone(), SharingLimits::default());
+            let vm = Vm {
+                sharing,
+                targets: TargetList::default(),
+                routes: None,
+                reaches_store: true,
+                running: true,
+                watch_ends: None,
+                calls: 0,
+            };
+            (id.clone(), vm)
+        });
+        let mut centre = DataCentre {
+            now: Millis(1_000),
+            vms: vms.collect(),
+            store: Vec::new(),
+            routes: Arc::new(routes(1)),
+            messages: Vec::new(),
+            lose: None,
+            sent: 0,
+        };
+        centre.write(target("a1", "desk", "east", 0));
+        centre.set_members();
+        centre
+    }
+
+    fn set_members(&mut self) {
+        let address: SocketAddr = "10.0.0.1:7000".parse().expect("an address");
+        let address = PeerAddress { control: address, packets: address, requests: address };
+        let members: Vec<Member> = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.running)
+            .map(|(id, _)| Member {
+                vm: id.clone(),
+                incarnation: Incarnation(1),
+                state: MemberState::Active,
+                size: 1,
+                address,
+                revision: Revision(0),
+                heard_at: Millis::ZERO,
+            })
+            .collect();
+        for (id, vm) in &mut self.vms {
+            vm.sharing.set_members(&Members::new(id.clone(), members.clone()));
+        }
+    }
+
+    fn revision(&self) -> Revision {
+        let targets = self.store.last().map_or(Revision(0), |(revision, _)| *revision);
+        targets.max(self.routes.revision)
+    }
+
+    fn write(&mut self, mut record: jasminecart_core::version::TargetRecord) {
+        record.revision = Revision(self.revision().0 + 1);
+        self.store.push((record.revision, TargetChange::Written(record)));
+    }
+
+    fn delete(&mut self, name: &str) {
+        let revision = Revision(self.revision().0 + 1);
+        self.store.push((revision, TargetChange::Deleted { name: Name::new(name), revision }));
+    }
+
+    fn configure(&mut self, change: impl FnOnce(&mut Routes)) {
+        let mut routes = self.routes.as_ref().clone();
+        routes.revision = Revision(self.revision().0 + 1);
+        routes.version += 3;
+        change(&mut routes);
+        self.routes = Arc::new(routes);
+    }
+
+    fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            let ids: Vec<VmId> = self.vms.keys().cloned().collect();
+            for id in &ids {
+                self.step(id);
+            }
+            self.deliver();
+        }
+    }
+
+    fn step(&mut self, id: &VmId) {
+        let (now, head) = (self.now, self.revision());
+        let vm = self.vms.get_mut(id).expect("a VM");
+        if !vm.running {
+            return;
+        }
+        let mut steps = vm.sharing.tick(now);
+        let position = vm.sharing.position();
+        let ended = vm.watch_ends.is_none_or(|end| now >= end);
+        match vm.sharing.source(now) {
+            Source::Peers => vm.watch_ends = None,
+            Source::Reader | Source::Alone if !vm.reaches_store => {
+                if ended {
+                    vm.calls += 1;
+                    vm.watch_ends = Some(now + WATCH_WAIT + Millis(1_000));
+                    if now > WATCH_WAIT {
+                        steps.extend(vm.sharing.on_store_failure(now));
+                    }
+                }
+            }
+            Source::Reader | Source::Alone => {
+                if position < head || ended {
+                    vm.calls += 1;
+                    vm.watch_ends = Some(now + WATCH_WAIT);
+                    let newer = self.store.iter().filter(|(revision, _)| *revision > position);
+                    for (_, change) in newer {
+                        vm.targets.apply(now, change.clone());
+                    }
+                    vm.routes = Some(self.routes.clone());
+                    let knowledge = Knowledge { targets: &vm.targets, routes: vm.routes.as_ref() };
+                    let changed = position < head;
+                    steps.extend(vm.sharing.on_store(now, head, changed, knowledge));
+                }
+            }
+        }
+        self.carry_out(id, steps);
+    }
+
+    fn carry_out(&mut self, id: &VmId, steps: Vec<SharingStep>) {
+        for step in steps {
+            match step {
+                SharingStep::Message { to, message } => {
+                    self.sent += 1;
+                    if self.lose.is_none_or(|every| !self.sent.is_multiple_of(every)) {
+                        self.messages.push((id.clone(), to, message));
+                    }
+                }
+                SharingStep::Apply(changes) => self.apply(id, changes),
+            }
+        }
+    }
+
+    fn apply(&mut self, id: &VmId, changes: SharedChanges) {
+        let now = self.now;
+        let vm = self.vms.get_mut(id).expect("a VM");
+        for change in changes.targets {
+            vm.targets.apply(now, change);
+        }
+        if let Some(routes) = changes.routes {
+            assert!(
+                vm.routes.as_ref().is_none_or(|known| known.revision < routes.revision),
+                "routes went back"
+            );
+            vm.routes = Some(routes);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some((from, to, message)) = self.messages.pop() {
+            let now = self.now;
+            let Some(vm) = self.vms.get_mut(&to).filter(|vm| vm.running) else { continue };
+            let knowledge = Knowledge { targets: &vm.targets, routes: vm.routes.as_ref() };
+            let steps = vm.sharing.on_message(now, &from, message, knowledge);
+            self.carry_out(&to, steps);
+        }
+    }
+
+    fn readers(&mut self) -> Vec<VmId> {
+        let now = self.now;
+        let reading = |vm: &mut Vm| vm.running && vm.sharing.source(now) == Source::Reader;
+        self.vms.iter_mut().filter_map(|(id, vm)| reading(vm).then(|| id.clone())).collect()
+    }
+
+    fn calls(&self) -> u64 {
+        self.vms.values().map(|vm| vm.calls).sum()
+    }
+
+    /// Asserts that every running VM knows what the store holds.
+    fn assert_current(&self) {
+        let mut wanted = TargetList::default();
+        for (_, change) in &self.store {
+            wanted.apply(Millis::ZERO, change.clone());
+        }
+        let usable = |list: &TargetList| -> Vec<Name> {
+            let usable = list.iter().filter(|target| target.takes_flows());
+            usable.map(|target| target.record.name.clone()).collect()
+        };
+        for (id, vm) in self.vms.iter().filter(|(_, vm)| vm.running) {
+            assert_eq!(usable(&vm.targets), usable(&wanted), "targets of {id}");
+            let routes = vm.routes.as_ref().expect("routes");
+            assert_eq!(routes.by_address, self.routes.by_address, "routes of {id}");
+            assert_eq!(routes.revision, self.routes.revision, "revision of {id}");
+        }
+    }
+}
+
+#[test_case(1; "one VM")]
+#[test_case(2; "two VMs")]
+#[test_case(3; "three VMs")]
+#[test_case(27; "twenty-seven VMs")]
+fn changes_reach_every_vm_within_a_second(count: usize) {
+    let mut centre = DataCentre::new(count);
+    centre.run(Millis(5_000));
+    centre.assert_current();
+    centre.write(target("a2", "desk", "east", 0));
+    centre.configure(|routes| {
+        routes.by_address.remove(&UPLOAD);
+    });
+    centre.delete("a1");
+    centre.run(Millis(1_000));
+    centre.assert_current();
+    assert_eq!(centre.readers().len(), count.min(2));
+}
+
+/// The price of calls: two readers whatever the size, each with a watch every 1.5 s.
+#[test]
+fn calls_do_not_grow_with_the_number_of_vms() {
+    for count in [3, 9, 27, 100] {
+        let mut centre = DataCentre::new(count);
+        centre.run(Millis(10_000));
+        let before = centre.calls();
+        centre.run(Millis(30_000));
+        let calls = centre.calls() - before;
+        assert!(calls <= 2 * 21, "{calls} calls in 30 s with {count} VMs");
+    }
+}
+
+/// The failure that broke a rule: the store turns both readers away without a word, and a change follows.
+#[test]
+fn a_change_is_in_force_in_time_although_both_readers_are_turned_away() {
+    for delay in 0..30 {
+        let mut centre = DataCentre::new(3);
+        centre.run(Millis(8_000));
+        for reader in centre.readers() {
+            centre.vms.get_mut(&reader).expect("a reader").reaches_store = false;
+        }
+        centre.run(Millis(100 * delay));
+        centre.configure(|routes| {
+            routes.by_address.remove(&FEED);
+        });
+        centre.run(APPLY_WITHIN - TICK);
+        let reaching = centre.vms.iter().find(|(_, vm)| vm.reaches_store).expect("a VM").1;
+        let revision = reaching.routes.as_ref().map(|routes| routes.revision);
+        assert_eq!(revision, Some(centre.routes.revision), "change {delay} ticks after the cut");
+        // The others learn it from the one that is not turned away.
+        centre.run(Millis(6_000));
+        centre.assert_current();
+    }
+}
+
+/// A reader that dies is replaced as soon as membership says so, and nobody misses a change before.
+#[test]
+fn a_dead_reader_is_replaced() {
+    let mut centre = DataCentre::new(5);
+    centre.run(Millis(5_000));
+    for reader in centre.readers() {
+        centre.vms.get_mut(&reader).expect("a reader").running = false;
+    }
+    centre.write(target("a2", "desk", "east", 0));
+    centre.run(APPLY_WITHIN - TICK);
+    centre.assert_current();
+    centre.set_members();
+    centre.run(Millis(1_000));
+    assert_eq!(centre.readers().len(), 2);
+}
+
+/// Lost datagrams cost a request for what is missing, never a wrong list.
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(7)]
+fn lost_messages_are_repaired(every: usize) {
+    let mut centre = DataCentre::new(6);
+    centre.lose = Some(every);
+    centre.run(Millis(4_000));
+    for number in 0..20 {
+        centre.write(target(&format!("b{number}"), "desk", "east", 0));
+        centre.configure(|routes| {
+            let rule = routes.by_address[&FEED].clone();
+            let port = 9_000 + number;
+            routes
+                .by_address
+                .insert(std::net::SocketAddrV4::new([198, 18, 0, 3].into(), port), rule);
+        });
+        centre.run(Millis(300));
+    }
+    centre.run(APPLY_WITHIN);
+    centre.assert_current();
+}
+
+/// A VM that wakes after a long pause does not go back, and catches up.
+#[test]
+fn a_vm_that_was_paused_catches_up() {
+    let mut centre = DataCentre::new(4);
+    centre.run(Millis(4_000));
+    let sleeper = centre.vms.keys().next().expect("a VM").clone();
+    centre.vms.get_mut(&sleeper).expect("a VM").running = false;
+    for number in 0..12 {
+        centre.configure(|routes| routes.idle_timeout = Millis(1_000 + number));
+        centre.write(target(&format!("b{number}"), "desk", "east", 0));
+        centre.run(Millis(700));
+    }
+    centre.delete("a1");
+    centre.run(Millis(500));
+    centre.vms.get_mut(&sleeper).expect("a VM").running = true;
+    centre.run(APPLY_WITHIN);
+    centre.assert_current();
+}
+
+/// Routes and targets that exceed a datagram arrive in parts.
+#[test]
+fn a_large_configuration_is_shared_in_parts() {
+    let mut centre = DataCentre::new(3);
+    centre.run(Millis(4_000));
+    centre.configure(|routes| {
+        let rule = routes.by_address[&FEED].clone();
+        for port in 0..400 {
+            let address = std::net::SocketAddrV4::new([198, 18, 1, 1].into(), 10_000 + port);
+            routes.by_address.insert(address, rule.clone());
+        }
+    });
+    centre.run(Millis(500));
+    centre.assert_current();
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever fails in which order, every VM that reaches the store or a peer is current soon after.
+    #[test]
+    fn random_failures_leave_nobody_behind(
+        steps in proptest::collection::vec((0u8..7, 0usize..5, 1u64..25), 1..40)
+    ) {
+        let mut centre = DataCentre::new(5);
+        let ids: Vec<VmId> = centre.vms.keys().cloned().collect();
+        centre.run(Millis(3_000));
+        for (number, (kind, which, ticks)) in steps.into_iter().enumerate() {
+            let vm = centre.vms.get_mut(&ids[which]).expect("a VM");
+            match kind {
+                0 => vm.reaches_store = false,
+                1 => vm.reaches_store = true,
+                2 => vm.running = !vm.running,
+                3 => centre.delete(&format!("b{which}")),
+                4 => centre.configure(|routes| routes.idle_timeout = Millis(number as u64)),
+                5 => centre.lose = Some(2 + which),
+                _ => centre.write(target(&format!("b{which}"), "desk", "east", 0)),
+            }
+            centre.run(Millis(100 * ticks));
+        }
+        centre.lose = None;
+        for vm in centre.vms.values_mut() {
+            vm.running = true;
+            vm.reaches_store = true;
+        }
+        centre.run(Millis(9_000));
+        centre.assert_current();
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-core/tests/token_routing.rs
@@ -0,0 +1,290 @@
+//! Routing by a token: every packet reaches the target of its flow or has a stated outcome.
+
+mod token_support;
+
+use std::sync::Arc;
+
+use jasminecart_core::flow::token::{
+    DropCause, ResetCause, RoutingToken, SegmentKind, TokenRouter, TokenRouterLimits, Verdict,
+};
+use jasminecart_core::version::{
+    Effect, FORGOTTEN_AFTER, GONE_AFTER, LAPSE_GRACE, Repeatable, Revision, TargetChange,
+    TargetState,
+};
+use jasminecart_core::{Millis, Name};
+use proptest::prelude::*;
+use test_case::test_case;
+use token_support::{
+    CLAIM, FEED, IDLE, UPLOAD, data, establish, finish, flow, me, open, opening, router, routes,
+    rule, target,
+};
+
+fn forwarded_label(verdict: Verdict) -> Option<u64> {
+    match verdict {
+        Verdict::Forward(destination) => Some(destination.label),
+        Verdict::Reset(_) | Verdict::Drop(_) => None,
+    }
+}
+
+/// Guards against flows that break because a packet reaches a VM that has not seen the flow.
+#[test]
+fn any_vm_routes_any_packet_of_an_open_flow() {
+    let targets = ["a1", "a2", "a3", "a4"].map(|name| target(name, "desk", "east", 1));
+    let mut first = router(targets.clone());
+    let mut other = router(targets);
+    for port in 1..200 {
+        let name = establish(&mut first, Millis(10), flow(port, FEED));
+        let verdict = other.on_segment(Millis(20), &data(flow(port, FEED), &name, 101, 1, 50));
+        assert_eq!(forwarded_label(verdict), Some(target(&name.to_string(), "", "", 1).label));
+    }
+}
+
+/// Guards against flows that move when targets are added, drained or replaced around them.
+#[test]
+fn an_open_flow_stays_while_targets_change() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    let name = establish(&mut router, Millis(10), flow(1, FEED));
+    for added in 2..9 {
+        let record = target(&format!("a{added}"), "desk", "east", 200 + added);
+        router.change_target(Millis(20), TargetChange::Written(record));
+    }
+    let mut draining = target("a1", "desk", "east", 300);
+    draining.state = TargetState::Draining;
+    router.change_target(Millis(30), TargetChange::Written(draining));
+    let verdict = router.on_segment(Millis(40), &data(flow(1, FEED), &name, 101, 1, 50));
+    assert_eq!(forwarded_label(verdict), Some(target("a1", "", "", 1).label));
+    for port in 2..50 {
+        let decision = open(&mut router, Millis(50), flow(port, FEED), 0);
+        assert_ne!(decision.target.as_str(), "a1", "a draining target got a new flow");
+    }
+}
+
+#[test_case(FEED, None, Verdict::Drop(DropCause::NoToken); "no token on an open flow")]
+#[test_case(FEED, Some("nobody"), Verdict::Drop(DropCause::UnknownToken); "unknown token")]
+#[test_case(FEED, Some("v1"), Verdict::Drop(DropCause::ForeignToken); "token of another service")]
+#[test_case(UPLOAD, Some("a1"), Verdict::Drop(DropCause::ForeignToken); "service of another token")]
+fn a_forged_token_reaches_no_target(
+    service: std::net::SocketAddrV4,
+    token: Option<&str>,
+    expected: Verdict,
+) {
+    let mut router = router([target("a1", "desk", "east", 1), target("v1", "vault", "east", 1)]);
+    let mut segment = data(flow(1, service), &Name::new("a1"), 101, 1, 50);
+    segment.token = token.map(|name| RoutingToken::of(&Name::new(name)));
+    assert_eq!(router.on_segment(Millis(10), &segment), expected);
+}
+
+/// Guards against a wrong final answer from a VM that has just started.
+#[test]
+fn a_vm_that_knows_nothing_drops_and_never_resets() {
+    let mut router = TokenRouter::new(&me(), 7, TokenRouterLimits::default());
+    assert!(!router.is_ready());
+    let verdict = router.on_segment(Millis(1), &opening(flow(1, FEED), 0));
+    assert_eq!(verdict, Verdict::Drop(DropCause::NotReady));
+    router.set_routes(Arc::new(routes(1)));
+    let verdict = router.on_segment(Millis(2), &opening(flow(1, FEED), 0));
+    assert_eq!(verdict, Verdict::Drop(DropCause::NotReady));
+}
+
+/// A removed route ends its flows at once, and an older configuration never brings it back.
+#[test]
+fn routes_are_monotonic_and_a_removed_route_resets() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    let name = establish(&mut router, Millis(10), flow(1, FEED));
+    let mut without = routes(5);
+    without.by_address.remove(&FEED);
+    assert!(router.set_routes(Arc::new(without)));
+    assert!(!router.set_routes(Arc::new(routes(4))), "an older revision was adopted");
+    let verdict = router.on_segment(Millis(20), &data(flow(1, FEED), &name, 101, 1, 50));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoRoute));
+    let verdict = router.on_segment(Millis(30), &opening(flow(2, FEED), 0));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoRoute));
+}
+
+#[test]
+fn a_route_without_targets_is_refused_at_once() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    let verdict = router.on_segment(Millis(10), &opening(flow(1, UPLOAD), 0));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
+}
+
+/// Guards against clients that wait for their deadline because their target has left.
+#[test]
+fn flows_of_a_target_that_left_are_reset_after_a_while() {
+    let mut router = router([target("a1", "desk", "east", 1), target("a2", "desk", "east", 1)]);
+    let name = establish(&mut router, Millis(10), flow(1, FEED));
+    let deleted = TargetChange::Deleted { name: name.clone(), revision: Revision(200) };
+    assert_eq!(router.change_target(Millis(100), deleted), Effect::Removed);
+    let segment = data(flow(1, FEED), &name, 101, 1, 50);
+    let before = Millis(100) + GONE_AFTER - Millis(1);
+    assert!(forwarded_label(router.on_segment(before, &segment)).is_some());
+    let after = Millis(100) + GONE_AFTER;
+    assert_eq!(router.on_segment(after, &segment), Verdict::Reset(ResetCause::TargetGone));
+    router.tick(Millis(100) + FORGOTTEN_AFTER);
+    let verdict = router.on_segment(Millis(100) + FORGOTTEN_AFTER, &segment);
+    assert_eq!(verdict, Verdict::Drop(DropCause::UnknownToken));
+}
+
+/// Guards against an empty list when entries lapse during an outage of the store.
+#[test]
+fn targets_that_lapsed_in_an_outage_still_get_flows_for_a_while() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    router.set_store_returned(Millis(1_000));
+    let deleted = TargetChange::Deleted { name: Name::new("a1"), revision: Revision(200) };
+    router.change_target(Millis(1_010), deleted);
+    open(&mut router, Millis(1_020), flow(1, FEED), 0);
+    let end = Millis(1_010) + LAPSE_GRACE;
+    router.tick(end);
+    let verdict = router.on_segment(end, &opening(flow(2, FEED), 0));
+    assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
+    router.change_target(end, TargetChange::Written(target("a1", "desk", "east", 300)));
+    open(&mut router, end, flow(3, FEED), 0);
+}
+
+/// Guards against a target that comes back to life by an old record.
+#[test]
+fn an_older_record_never_replaces_a_newer_one() {
+    let mut router = router([target("a1", "desk", "east", 50)]);
+    let old = TargetChange::Written(target("a1", "desk", "east", 49));
+    assert_eq!(router.change_target(Millis(10), old), Effect::Ignored);
+    let deleted = TargetChange::Deleted { name: Name::new("a1"), revision: Revision(60) };
+    assert_eq!(router.change_target(Millis(20), deleted.clone()), Effect::Removed);
+    let old = TargetChange::Written(target("a1", "desk", "east", 55));
+    assert_eq!(router.change_target(Millis(30), old), Effect::Ignored);
+    assert_eq!(router.change_target(Millis(40), deleted), Effect::Ignored);
+    // A whole list that was read before the deletion does not bring the target back either.
+    let list = vec![target("a1", "desk", "east", 50)];
+    assert!(router.set_targets(Millis(50), list, Revision(58)).is_empty());
+}
+
+/// A list read at an earlier revision than a record must not remove it.
+#[test]
+fn a_stale_list_removes_nothing_newer() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    router.change_target(Millis(10), TargetChange::Written(target("a2", "desk", "east", 200)));
+    let effects =
+        router.set_targets(Millis(20), vec![target("a1", "desk", "east", 1)], Revision(150));
+    assert!(effects.is_empty(), "{effects:?}");
+    assert_eq!(router.targets().usable(), 2);
+}
+
+/// A late answer of the first target makes the client echo its token on a flow that the second one opened.
+#[test]
+fn a_flow_whose_opening_was_answered_twice_keeps_its_target() {
+    let mut router = router([target("a1", "desk", "east", 1), target("a2", "desk", "east", 1)]);
+    let first = open(&mut router, Millis(0), flow(1, CLAIM), 0).target;
+    let second = open(&mut router, Millis(200), flow(1, CLAIM), 1).target;
+    assert_ne!(first, second, "the copy of an unanswered opening went to the same target");
+    router.on_segment(Millis(205), &data(flow(1, CLAIM), &second, 101, 1, 0));
+    let late = router.on_segment(Millis(210), &data(flow(1, CLAIM), &first, 101, 1, 50));
+    assert_eq!(forwarded_label(late), Some(target(second.as_str(), "", "", 1).label));
+}
+
+/// Two targets with the same token can't be told apart in packets, so neither gets new flows.
+#[test]
+fn ambiguous_tokens_get_no_new_flows() {
+    let (first, second) = colliding_names();
+    let names = [first.as_str(), second.as_str(), "a1"];
+    let mut router = router(names.map(|name| target(name, "desk", "east", 1)));
+    for port in 1..50 {
+        assert_eq!(open(&mut router, Millis(10), flow(port, FEED), 0).target.as_str(), "a1");
+    }
+    assert_eq!(router.counters().ambiguous_targets, 1);
+}
+
+/// Finds two names with the same token by the birthday bound.
+fn colliding_names() -> (String, String) {
+    let mut seen = std::collections::HashMap::new();
+    for number in 0..1_000_000 {
+        let name = format!("i-{number:08x}");
+        if let Some(other) = seen.insert(RoutingToken::of(&Name::new(&name)), name.clone()) {
+            return (other, name);
+        }
+    }
+    unreachable!("a million names of 32-bit tokens collide");
+}
+
+#[test]
+fn shares_of_a_route_split_its_flows() {
+    let mut router = router([target("a1", "desk", "east", 1), target("v1", "vault", "east", 1)]);
+    let mut split = routes(2);
+    let mut shared = rule("feed", "desk", Repeatable::Always);
+    shared.services = vec![(Name::new("desk"), 90), (Name::new("vault"), 10)];
+    split.by_address.insert(FEED, Arc::new(shared));
+    router.set_routes(Arc::new(split));
+    let opened = (1..2_001).map(|port| open(&mut router, Millis(1), flow(port, FEED), 0).target);
+    let vault = opened.filter(|name| name.as_str() == "v1").count();
+    assert!((120..280).contains(&vault), "{vault} of 2,000 flows for a share of 10 %");
+}
+
+#[test]
+fn observed_flows_are_bounded_and_expire() {
+    let limits = TokenRouterLimits { max_flows: 100 };
+    let mut router = TokenRouter::new(&me(), 7, limits);
+    router.set_targets(Millis::ZERO, vec![target("a1", "desk", "east", 1)], Revision(100));
+    router.set_routes(Arc::new(routes(1)));
+    for port in 1..1_000 {
+        open(&mut router, Millis(1), flow(port, FEED), 0);
+    }
+    assert_eq!(router.observed_flows(), 100);
+    router.tick(Millis(1) + IDLE);
+    assert_eq!(router.observed_flows(), 0);
+}
+
+#[test]
+fn a_finished_flow_reports_its_latency() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    let name = establish(&mut router, Millis(10), flow(1, CLAIM));
+    router.on_segment(Millis(20), &data(flow(1, CLAIM), &name, 101, 1, 900));
+    router.on_segment(Millis(75), &finish(flow(1, CLAIM), &name, 600));
+    let answered = router.take_answered().expect("the answer was acknowledged");
+    assert_eq!((answered.latency, answered.route.as_str()), (Millis(65), "claim"));
+}
+
+proptest! {
+    /// No order of segments, changes and pauses makes the router forward to a target of another service,
+    /// reset a flow of a live target, or panic.
+    #[test]
+    fn random_segments_never_reach_a_foreign_service(
+        steps in proptest::collection::vec((0u8..8, 1u16..12, 0u32..4, 0u64..900), 1..200)
+    ) {
+        let names = ["a1", "a2", "a3", "v1", "v2"];
+        let service = |name: &str| if name.starts_with('a') { "desk" } else { "vault" };
+        let mut router = router(names.map(|name| target(name, service(name), "east", 1)));
+        let mut now = Millis::ZERO;
+        for (revision, (kind, port, choice, pause)) in (200u64..).zip(steps) {
+            now += Millis(pause);
+            let name = Name::new(names[usize::from(port) % names.len()]);
+            let address = [FEED, CLAIM, UPLOAD][choice as usize % 3];
+            let flow = flow(port, address);
+            let segment = match kind {
+                0 | 1 => opening(flow, choice),
+                2 | 3 => data(flow, &name, 101 + choice, choice, 50),
+                4 => finish(flow, &name, choice),
+                5 => {
+                    router.tick(now);
+                    let record = target(name.as_str(), service(name.as_str()), "east", revision);
+                    router.change_target(now, TargetChange::Written(record));
+                    continue;
+                }
+                6 => {
+                    let revision = Revision(revision);
+                    router.change_target(now, TargetChange::Deleted { name, revision });
+                    continue;
+                }
+                _ => {
+                    let mut segment = data(flow, &name, 101, 1, 0);
+                    segment.kind = SegmentKind::Abort;
+                    segment
+                }
+            };
+            if let Verdict::Forward(destination) = router.on_segment(now, &segment) {
+                let wanted = if address == UPLOAD { "vault" } else { "desk" };
+                let known = names.iter().find(|name| {
+                    target(name, "", "", 1).label == destination.label
+                });
+                prop_assert_eq!(known.map(|name| service(name)), Some(wanted));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminecart-core/tests/token_support/mod.rs
@@ -0,0 +1,106 @@
+//! A small deployment for tests of token routing.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use jasminecart_core::flow::token::{
+    ClientSegment, Decision, FlowId, RoutingToken, SegmentKind, TokenRouter, TokenRouterLimits,
+    Verdict,
+};
+use jasminecart_core::version::{
+    Repeatable, Revision, RouteRule, Routes, TargetRecord, TargetState,
+};
+use jasminecart_core::{Millis, Name, VmId};
+
+pub(crate) const FEED: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
+pub(crate) const CLAIM: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8080);
+pub(crate) const UPLOAD: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 8443);
+pub(crate) const IDLE: Millis = Millis(15_000);
+
+pub(crate) fn me() -> VmId {
+    VmId::new("east", "vm-1")
+}
+
+pub(crate) fn rule(name: &str, service: &str, repeatable: Repeatable) -> RouteRule {
+    RouteRule {
+        name: Name::new(name),
+        services: vec![(Name::new(service), 1)],
+        repeatable,
+        timeout: Millis(1_000),
+        objective: Millis(150),
+        priority: 1,
+    }
+}
+
+/// Feeds and claims on one service, uploads on another.
+pub(crate) fn routes(revision: u64) -> Routes {
+    let rules = [
+        (FEED, rule("feed", "desk", Repeatable::Always)),
+        (CLAIM, rule("claim", "desk", Repeatable::Never)),
+        (UPLOAD, rule("upload", "vault", Repeatable::Never)),
+    ];
+    Routes {
+        revision: Revision(revision),
+        version: revision,
+        by_address: rules.into_iter().map(|(at, rule)| (at, Arc::new(rule))).collect(),
+        idle_timeout: IDLE,
+    }
+}
+
+pub(crate) fn target(name: &str, service: &str, data_centre: &str, revision: u64) -> TargetRecord {
+    let label = u64::from(RoutingToken::of(&Name::new(name)).get());
+    TargetRecord {
+        name: Name::new(name),
+        label,
+        service: Name::new(service),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, 9), label as u16),
+        data_centre: Name::new(data_centre),
+        slots: 2,
+        state: TargetState::Active,
+        cold_for: Millis::ZERO,
+        started_at: Some(1),
+        revision: Revision(revision),
+    }
+}
+
+/// A router that knows `targets` and the usual routes at time zero.
+pub(crate) fn router(targets: impl IntoIterator<Item = TargetRecord>) -> TokenRouter {
+    let mut router = TokenRouter::new(&me(), 7, TokenRouterLimits::default());
+    router.set_targets(Millis::ZERO, targets.into_iter().collect(), Revision(100));
+    router.set_routes(Arc::new(routes(1)));
+    router
+}
+
+pub(crate) fn flow(port: u16, service: SocketAddrV4) -> FlowId {
+    FlowId { client: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 7), port), service }
+}
+
+pub(crate) fn opening(flow: FlowId, copy: u32) -> ClientSegment {
+    let kind = SegmentKind::Open { copy };
+    ClientSegment { flow, kind, token: None, seq: 100, ack: copy, payload: 0 }
+}
+
+/// A segment of an open flow that echoes the token of `target`.
+pub(crate) fn data(flow: FlowId, target: &Name, seq: u32, ack: u32, payload: u16) -> ClientSegment {
+    let token = Some(RoutingToken::of(target));
+    ClientSegment { flow, kind: SegmentKind::Data, token, seq, ack, payload }
+}
+
+pub(crate) fn finish(flow: FlowId, target: &Name, ack: u32) -> ClientSegment {
+    let token = Some(RoutingToken::of(target));
+    ClientSegment { flow, kind: SegmentKind::Finish, token, seq: 500, ack, payload: 0 }
+}
+
+/// Sends an opening and returns the decision about it.
+pub(crate) fn open(router: &mut TokenRouter, now: Millis, flow: FlowId, copy: u32) -> Decision {
+    let verdict = router.on_segment(now, &opening(flow, copy));
+    assert!(matches!(verdict, Verdict::Forward(_)), "{verdict:?}");
+    router.take_decision().expect("an opening is decided about")
+}
+
+/// Opens a flow and acknowledges the answer of its target, as a client does at once.
+pub(crate) fn establish(router: &mut TokenRouter, now: Millis, flow: FlowId) -> Name {
+    let decision = open(router, now, flow, 0);
+    router.on_segment(now + Millis(5), &data(flow, &decision.target, 101, 1, 0));
+    decision.target
+}
