Keep evidence and sharing honest on VMs with small links and little processor time

Packets of clients waited on the way in or out, clients repeated them, and the VM took live targets for silent ones.

Change: a repetition counts only if the packet socket was seen empty 150 ms after the original was forwarded; a flow is reset only if some target answered a packet that left later; a statement that would occupy the link for more than 40 ms is replaced by word to read the store; the rank of readers prefers VMs with more processor time and a larger link. One reader and a standby replace two readers. Packets that arrive before the first tables wait for up to 200 ms.

Ruled out: packet loss between VMs.

--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -19,7 +19,7 @@
     /// request of a flow that is the opening.
     pub(super) request_at: Option<Millis>,
     /// When the client sent the first data since the target was last heard from on this flow.
-    waiting_since: Option<Millis>,
+    pub(super) waiting_since: Option<Millis>,
     /// The highest sequence number after the client's data.
     sent: u32,
     /// The last acknowledgement of the client.
@@ -38,6 +38,8 @@
 pub(super) struct Observation {
     /// The client has received something from the target since its last segment.
     pub(super) progress: bool,
+    /// When the packet was forwarded that the target answered.
+    pub(super) answered_packet: Option<Millis>,
     /// The client repeated data that it first sent at the given time.
     pub(super) repetition: Option<(Millis, Repetition)>,
     /// The client began a request.
@@ -83,13 +85,14 @@
         let first = !self.established;
         let mut seen =
             Observation { progress: first || segment.ack != self.acked, ..Observation::default() };
-        self.last_at = now;
-        self.established = true;
-        self.acked = segment.ack;
         if seen.progress {
             self.repeats = 0;
-            self.waiting_since = None;
+            let waited = self.waiting_since.take();
+            seen.answered_packet = if first { Some(self.last_at) } else { waited };
         }
+        self.last_at = now;
+        self.established = true;
+        self.acked = segment.ack;
         let end = end_of(segment);
         if segment.payload == 0 {
             if seen.progress && !first {
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -1,6 +1,6 @@
 //! The facade of token routing.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -142,6 +142,11 @@
     by_token: HashMap<RoutingToken, usize>,
     by_service: HashMap<Name, Vec<usize>>,
     flows: OpenFlows,
+    /// When no packet was waiting to be read.
+    drained_at: Millis,
+    /// The latest time at which a packet was forwarded that some target answered. It proves that packets
+    /// left this VM then.
+    proved_at: Millis,
     /// The silence of whole data centres, which a cut between them causes.
     data_centres: HashMap<Name, Silence>,
     latencies: RouteLatencies,
@@ -165,6 +170,8 @@
             by_token: HashMap::new(),
             by_service: HashMap::new(),
             flows: OpenFlows::default(),
+            drained_at: Millis::ZERO,
+            proved_at: Millis::ZERO,
             data_centres: HashMap::new(),
             latencies: RouteLatencies::default(),
             steering: Steering::new(me.data_centre.clone(), steering_rng),
@@ -180,7 +187,8 @@
         let newer = |known: &Arc<Routes>| routes.revision > known.revision;
         let adopt = self.routes.as_ref().is_none_or(newer);
         if adopt {
-            self.latencies.retain(|name| routes.by_address.values().any(|rule| rule.name == *name));
+            let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
+            self.latencies.retain(|name| names.contains(name));
             self.routes = Some(routes);
         }
         adopt
@@ -225,6 +233,11 @@
         }
     }
 
+    /// Notes that no packet was waiting to be read at `now`, so that later ones arrived afterwards.
+    pub fn set_drained(&mut self, now: Millis) {
+        self.drained_at = now;
+    }
+
     /// Decides about one packet. [`TokenRouter::take_decision`] explains the choice for a new flow.
     pub fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Verdict {
         let verdict = self.route(now, segment);
@@ -345,10 +358,11 @@
         sent_at: Millis,
         repetition: Repetition,
     ) {
+        let drained_at = self.drained_at;
         let target = &mut self.targets[index];
         let data_centre = self.data_centres.entry(target.data_centre.clone()).or_default();
-        data_centre.on_repetition(now, sent_at, repetition);
-        if target.silence.on_repetition(now, sent_at, repetition) {
+        data_centre.on_repetition(now, sent_at, drained_at, repetition);
+        if target.silence.on_repetition(now, sent_at, drained_at, repetition) {
             self.counters.suspicions += 1;
         }
     }
@@ -426,11 +440,16 @@
     }
 
     /// Tells whether a flow waits for a target that is surely silent, and its client may repeat the request
-    /// elsewhere. A request that runs once at most keeps its flow, since a reset would only end it.
+    /// elsewhere. A request that runs once at most keeps its flow, since a reset would only end it. Packets
+    /// that left later were answered by others, or the fault would be this VM's own.
     fn is_lost(&mut self, flow: &FlowId, index: usize, rule: &RouteRule) -> bool {
+        let proved_at = self.proved_at;
+        let waits = |flow: &mut OpenFlow| {
+            flow.repeats > 0 && flow.waiting_since.is_some_and(|since| since <= proved_at)
+        };
         rule.repeatable == Repeatable::Always
             && self.targets[index].silence.is_certain()
-            && self.flows.get_mut(flow).is_some_and(|flow| flow.repeats > 0)
+            && self.flows.get_mut(flow).is_some_and(waits)
     }
 
     fn destination(&self, index: usize) -> Destination {
@@ -464,6 +483,7 @@
         if seen.progress {
             self.on_progress(now, index);
         }
+        self.proved_at = self.proved_at.max(seen.answered_packet.unwrap_or_default());
         if let Some((sent_at, repetition)) = seen.repetition {
             self.on_repetition(now, index, sent_at, repetition);
         }
--- a/crates/jasminecart-core/src/flow/token/silence.rs
+++ b/crates/jasminecart-core/src/flow/token/silence.rs
@@ -20,9 +20,12 @@
 const CERTAIN: u32 = 3;
 /// The evidence, with nothing heard from any target of a data centre, from which all of them are suspected.
 const CUT: u32 = 4;
-/// A repetition counts only if this VM forwarded the original at least this long ago. After a pause of the
-/// process, original and repetitions are read at once and prove nothing.
+/// A repetition counts only if it arrived at least this long after this VM forwarded the original. After a
+/// pause of the process, or while it can't keep up, original and repetitions wait together and prove nothing.
 const LEAST_WAIT: Millis = Millis(150);
+/// An answer that arrives within this time after a packet was sent was under way before. Clients are up to
+/// 3 ms away, targets a millisecond, and an acknowledgement may wait for a second packet.
+const UNDER_WAY: Millis = Millis(25);
 /// How long a suspected target gets no new flows before one is tried. Cuts last seconds; a target that is
 /// gone leaves the list after 3.6 s.
 const FIRST_AVOIDANCE: Millis = Millis(1_000);
@@ -76,15 +79,17 @@
         *self = Silence { heard_at: Some(now), ..Silence::default() };
     }
 
-    /// Notes a repetition of a packet that was first forwarded at `sent_at`. Returns whether the target
-    /// became suspected.
+    /// Notes a repetition of a packet that was first forwarded at `sent_at`. The repetition arrived after
+    /// `drained_at`, when no packet was waiting. Returns whether the target became suspected.
     pub(super) fn on_repetition(
         &mut self,
         now: Millis,
         sent_at: Millis,
+        drained_at: Millis,
         repetition: Repetition,
     ) -> bool {
-        if self.heard_at.is_some_and(|at| sent_at <= at) || now.since(sent_at) < LEAST_WAIT {
+        let answered = self.heard_at.is_some_and(|at| sent_at + UNDER_WAY <= at);
+        if answered || drained_at.since(sent_at) < LEAST_WAIT {
             return false;
         }
         let before = self.evidence;
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -18,34 +18,58 @@
 use self::parts::Assembly;
 use super::{Revision, RouteRule, Routes, TargetChange, TargetList};
 use crate::names::VmId;
-use crate::process::{Members, rendezvous};
+use crate::process::{Member, Members, rendezvous};
 use crate::time::Millis;
 
 /// Bounds and periods of [`Sharing`].
 #[derive(Clone, Copy, Debug)]
 pub struct SharingLimits {
-    /// How many VMs of a data centre follow the store. With two, the loss of one is not noticed.
+    /// How many VMs of a data centre follow the store.
     pub readers: usize,
     /// The period in which a reader repeats what it knows, if the store confirmed nothing since.
     pub beacon: Millis,
-    /// The age of the last confirmation by the store at which a member reads on its own. New routes have
-    /// to be in force within 3 s, of which this leaves 0.8 s for reading them.
+    /// The age of the last confirmation by the store at which the member next in rank reads on its own. A
+    /// watch confirms every 1.5 s.
+    pub standby_after: Millis,
+    /// The age at which any member reads on its own. New routes have to be in force within 3 s, of which
+    /// this leaves 0.7 s for reading them.
     pub alone_after: Millis,
     /// How long a reader that can't reach the store is passed over.
     pub passed_over: Millis,
+    /// The most bytes of one statement to all its receivers together. More would hold up the packets of
+    /// clients on the same link for longer than their objectives allow.
+    pub statement_bytes: usize,
 }
 
 impl Default for SharingLimits {
     fn default() -> Self {
         SharingLimits {
-            readers: 2,
+            readers: 1,
             beacon: Millis(1_000),
-            alone_after: Millis(2_200),
+            standby_after: Millis(1_900),
+            alone_after: Millis(2_300),
             passed_over: Millis(4_000),
+            statement_bytes: SharingLimits::statement_bytes(1_000),
         }
     }
 }
 
+impl SharingLimits {
+    /// The time for which one statement may occupy the link. The strictest objective is 150 ms.
+    const LINK_TIME: Millis = Millis(40);
+
+    /// Sets the bound of a statement for a link of some Mbit/s.
+    pub fn with_link(mut self, megabits: u32) -> SharingLimits {
+        self.statement_bytes = SharingLimits::statement_bytes(megabits);
+        self
+    }
+
+    const fn statement_bytes(megabits: u32) -> usize {
+        const BYTES_PER_MEGABIT_MS: usize = 125;
+        megabits as usize * BYTES_PER_MEGABIT_MS * SharingLimits::LINK_TIME.get() as usize
+    }
+}
+
 /// One item of what VMs share.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SharedItem {
@@ -102,6 +126,11 @@
         /// The items of this part.
         items: Vec<SharedItem>,
     },
+    /// What changed is too large for the sender's link; the receiver has to read the store itself.
+    ReadStore {
+        /// The revision up to which it has to read.
+        upto: Revision,
+    },
 }
 
 /// What the caller has to do.
@@ -109,8 +138,8 @@
 pub enum SharingStep {
     /// A message has to be sent.
     Message {
-        /// The VM that receives it.
-        to: VmId,
+        /// The VMs that receive it.
+        to: Vec<VmId>,
         /// The message.
         message: SharingMessage,
     },
@@ -170,11 +199,15 @@
     me: VmId,
     limits: SharingLimits,
     peers: Vec<VmId>,
-    eligible: Vec<VmId>,
+    /// The members that may read, the first in rank first.
+    ranked: Vec<VmId>,
     /// Until when members are passed over, because they can't reach the store.
     passed_over: BTreeMap<VmId, Millis>,
     is_reader: bool,
+    is_standby: bool,
     position: Revision,
+    /// The revision up to which a peer told this VM to read the store.
+    read_upto: Revision,
     /// The position at which something was last added to what this VM knows.
     changed_at: Revision,
     /// When the store last confirmed what this VM knows, as far as it can tell.
@@ -195,10 +228,12 @@
             me,
             limits,
             peers: Vec::new(),
-            eligible: Vec::new(),
+            ranked: Vec::new(),
             passed_over: BTreeMap::new(),
             is_reader: true,
+            is_standby: false,
             position: Revision(0),
+            read_upto: Revision(0),
             changed_at: Revision(0),
             confirmed_at: None,
             has_heard: false,
@@ -213,8 +248,16 @@
     /// Takes the members of the data centre.
     pub fn set_members(&mut self, members: &Members) {
         let near = |vm: &&VmId| vm.data_centre == self.me.data_centre;
-        let eligible = members.eligible().map(|member| &member.vm);
-        self.eligible = eligible.filter(near).cloned().collect();
+        let eligible = members.eligible().filter(|member| near(&&member.vm));
+        // Reading costs processor time, of which the smallest VMs have a twentieth of the largest. Sizes
+        // that differ by less than a factor of two count as equal.
+        let rank = |member: &&Member| {
+            let hash = rendezvous::hash(("store readers", &member.vm));
+            std::cmp::Reverse((member.size.max(1).ilog2(), hash))
+        };
+        let mut ranked: Vec<&Member> = eligible.collect();
+        ranked.sort_by_cached_key(rank);
+        self.ranked = ranked.into_iter().map(|member| member.vm.clone()).collect();
         self.peers = members.peers().map(|member| &member.vm).filter(near).cloned().collect();
         let peers = &self.peers;
         self.assemblies.retain(|vm, _| peers.contains(vm));
@@ -223,10 +266,16 @@
     /// Returns how this VM has to keep its knowledge current.
     pub fn source(&mut self, now: Millis) -> Source {
         self.rank(now);
-        let stale = self.age(now) >= self.limits.alone_after;
+        let alone_after =
+            if self.is_standby { self.limits.standby_after } else { self.limits.alone_after };
+        let stale = self.age(now) >= alone_after;
         let source = if self.is_reader {
             Source::Reader
-        } else if self.position == Revision(0) || !self.has_heard || stale {
+        } else if self.position < self.read_upto
+            || self.position == Revision(0)
+            || !self.has_heard
+            || stale
+        {
             Source::Alone
         } else {
             Source::Peers
@@ -238,13 +287,13 @@
         source
     }
 
-    /// Works out whether this VM is one of the readers.
+    /// Works out whether this VM is one of the readers, or the next to become one.
     fn rank(&mut self, now: Millis) {
         self.passed_over.retain(|_, until| now < *until);
-        let passed_over = &self.passed_over;
-        let able = self.eligible.iter().filter(|vm| !passed_over.contains_key(vm));
-        let ranked = rendezvous::ranked("store readers", able);
-        self.is_reader = ranked.iter().take(self.limits.readers).any(|vm| **vm == self.me);
+        let mut able = self.ranked.iter().filter(|vm| !self.passed_over.contains_key(vm));
+        let place = able.position(|vm| *vm == self.me);
+        self.is_reader = place.is_some_and(|place| place < self.limits.readers);
+        self.is_standby = place == Some(self.limits.readers);
     }
 
     /// Returns the revision up to which this VM knows everything.
@@ -281,19 +330,15 @@
         if changed {
             self.changed_at = self.position;
         }
-        if !self.is_reader {
+        // A member that had to read on its own spares the others the call.
+        if self.source == Source::Peers {
             return Vec::new();
         }
         if !changed {
             return self.state(now);
         }
-        let peers = self.peers.clone();
-        let mut steps = Vec::new();
-        for peer in peers {
-            steps.extend(self.share(now, &peer, before, knowledge));
-        }
         self.beacon_at = now + self.limits.beacon;
-        steps
+        self.share(now, self.peers.clone(), before, knowledge)
     }
 
     /// Notes that a call to the store failed. A reader tells its peers, so that another one takes its place.
@@ -317,7 +362,7 @@
             return Vec::new();
         }
         match message {
-            SharingMessage::Ask { after } => self.share(now, from, after, knowledge),
+            SharingMessage::Ask { after } => self.share(now, vec![from.clone()], after, knowledge),
             SharingMessage::Beacon { unchanged_since, revision, age, reachable } => {
                 if reachable {
                     self.passed_over.remove(from);
@@ -333,6 +378,10 @@
                 };
                 self.on_share(now, from, after, upto, age, items, knowledge)
             }
+            SharingMessage::ReadStore { upto } => {
+                self.read_upto = self.read_upto.max(upto);
+                Vec::new()
+            }
         }
     }
 
@@ -353,8 +402,7 @@
             age: self.age(now),
             reachable: !self.passed_over.contains_key(&self.me),
         };
-        let peers = self.peers.clone();
-        peers.iter().map(|peer| self.send(peer, beacon.clone())).collect()
+        vec![self.send(self.peers.clone(), beacon)]
     }
 
     fn on_beacon(
@@ -367,7 +415,7 @@
     ) -> Vec<SharingStep> {
         if unchanged_since > self.position || self.position == Revision(0) {
             let ask = SharingMessage::Ask { after: self.position };
-            return vec![self.send(from, ask)];
+            return vec![self.send(vec![from.clone()], ask)];
         }
         if revision >= self.changed_at {
             self.position = self.position.max(revision);
@@ -425,15 +473,15 @@
     fn on_gap(&mut self, from: &VmId, began_at: Revision) -> Vec<SharingStep> {
         self.counters.gaps += 1;
         let after = if began_at == self.position { Revision(0) } else { self.position };
-        vec![self.send(from, SharingMessage::Ask { after })]
+        vec![self.send(vec![from.clone()], SharingMessage::Ask { after })]
     }
 
-    /// Tells a peer what changed after a revision. Before the first answer of the store there is nothing
+    /// Tells some peers what changed after a revision. Before the first answer of the store there is nothing
     /// to tell.
     fn share(
         &mut self,
         now: Millis,
-        to: &VmId,
+        to: Vec<VmId>,
         after: Revision,
         knowledge: Knowledge<'_>,
     ) -> Vec<SharingStep> {
@@ -449,14 +497,19 @@
         let parts = parts::split(items);
         let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
         let upto = self.position;
+        if parts.len() * parts::PART_BYTES * to.len() > self.limits.statement_bytes
+            && parts.len() > 1
+        {
+            return vec![self.send(to, SharingMessage::ReadStore { upto })];
+        }
         let message =
             |(part, items)| SharingMessage::Share { after, upto, age, part, parts: count, items };
         let messages: Vec<SharingMessage> = (0..count).zip(parts).map(message).collect();
-        messages.into_iter().map(|message| self.send(to, message)).collect()
+        messages.into_iter().map(|message| self.send(to.clone(), message)).collect()
     }
 
-    fn send(&mut self, to: &VmId, message: SharingMessage) -> SharingStep {
-        self.counters.sent += 1;
-        SharingStep::Message { to: to.clone(), message }
+    fn send(&mut self, to: Vec<VmId>, message: SharingMessage) -> SharingStep {
+        self.counters.sent += to.len() as u64;
+        SharingStep::Message { to, message }
     }
 }
--- a/crates/jasminecart-core/src/version/sharing/parts.rs
+++ b/crates/jasminecart-core/src/version/sharing/parts.rs
@@ -6,7 +6,7 @@
 use crate::version::{Revision, RouteRule, TargetChange};
 
 /// The most bytes of items in one message, so that it fits a datagram of the usual MTU with its envelope.
-const PART_BYTES: usize = 1_000;
+pub(super) const PART_BYTES: usize = 1_000;
 /// The most parts of one statement. At the two-year size 3,400 targets and 1,600 routes take about 400.
 const MAX_PARTS: u16 = 2_048;
 
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -1,11 +1,12 @@
 //! The packet loop, which owns the router.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use jasminecart_core::flow::token::{ClientSegment, Destination, TokenRouter, Verdict};
+use jasminecart_core::flow::token::{ClientSegment, Destination, DropCause, TokenRouter, Verdict};
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{Effect, Revision, Routes, SharedChanges, TargetChange};
 use log::{info, warn};
@@ -21,6 +22,12 @@
 /// The most packets handled before timers and updates get their turn.
 const BATCH: usize = 64;
 
+/// How long a packet waits at most for the first routes and targets. Its client repeats it after 200 ms, so
+/// that an older one only doubles the work.
+const BACKLOG_AGE: Millis = Millis(200);
+/// The most packets that wait for the first routes and targets, about 100 ms of the busiest VM.
+const BACKLOG: usize = 128;
+
 /// Forwards packets with one router.
 pub(crate) struct Forwarder<E> {
     socket: UdpSocket,
@@ -29,6 +36,8 @@
     shared: Rc<Shared>,
     events: Events,
     revision: Revision,
+    /// Packets that arrived before the first routes and targets did.
+    backlog: VecDeque<(Millis, Box<[u8]>)>,
     datagram: Box<[u8]>,
     out: Vec<u8>,
 }
@@ -47,6 +56,7 @@
             shared,
             events: Events::default(),
             revision: Revision::default(),
+            backlog: VecDeque::new(),
             datagram: vec![0; MAX_DATAGRAM].into(),
             out: Vec::with_capacity(MAX_DATAGRAM),
         }
@@ -63,7 +73,10 @@
         for _ in 0..BATCH {
             match self.socket.try_recv(&mut datagram) {
                 Ok(length) => self.on_datagram(now, &datagram[..length]),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.router.set_drained(self.shared.clock.now());
+                    break;
+                }
                 // A target's host that refuses datagrams is reported here, on the next call.
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
                 Err(error) => {
@@ -76,8 +89,33 @@
     }
 
     fn on_datagram(&mut self, now: Millis, datagram: &[u8]) {
+        self.shared.metrics.packets.inc();
+        if self.router.is_ready() {
+            self.handle(now, datagram);
+        } else {
+            if self.backlog.len() >= BACKLOG {
+                self.backlog.pop_front();
+                let cause = events::drop_label(DropCause::NotReady);
+                self.shared.metrics.drops.get_or_create(&CauseLabel { cause }).inc();
+            }
+            self.backlog.push_back((now, datagram.into()));
+        }
+    }
+
+    /// Handles the packets that waited for the first routes and targets.
+    fn work_off_backlog(&mut self, now: Millis) {
+        for (arrived_at, datagram) in std::mem::take(&mut self.backlog) {
+            if now.since(arrived_at) <= BACKLOG_AGE {
+                self.handle(now, &datagram);
+            } else {
+                let cause = events::drop_label(DropCause::NotReady);
+                self.shared.metrics.drops.get_or_create(&CauseLabel { cause }).inc();
+            }
+        }
+    }
+
+    fn handle(&mut self, now: Millis, datagram: &[u8]) {
         let metrics = &self.shared.metrics;
-        metrics.packets.inc();
         let segment = match self.encapsulation.decode(datagram) {
             Ok(segment) => segment,
             Err(error) => {
@@ -156,7 +194,7 @@
             events::target_changed(name, *effect, snapshot.revision, "store");
         }
         let adopted = snapshot.routes.is_some_and(|routes| self.adopt(Arc::new(routes), "store"));
-        self.note(snapshot.revision);
+        self.note(now, snapshot.revision);
         adopted || !effects.is_empty()
     }
 
@@ -165,7 +203,7 @@
         self.shared.metrics.refused_entries.inc_by(changes.refused);
         let applied = self.apply(now, changes.targets, changes.revision, "store");
         let adopted = changes.routes.is_some_and(|routes| self.adopt(Arc::new(routes), "store"));
-        self.note(changes.revision);
+        self.note(now, changes.revision);
         applied || adopted
     }
 
@@ -176,7 +214,7 @@
         if let Some(routes) = changes.routes {
             self.adopt(routes, source.as_str());
         }
-        self.note(changes.upto);
+        self.note(now, changes.upto);
     }
 
     /// Notes that the directory answers again after an outage.
@@ -215,9 +253,12 @@
         adopted
     }
 
-    fn note(&mut self, revision: Revision) {
+    fn note(&mut self, now: Millis, revision: Revision) {
         self.revision = self.revision.max(revision);
-        self.shared.readiness.set_loaded(self.router.is_ready());
+        if self.router.is_ready() {
+            self.shared.readiness.set_loaded(true);
+            self.work_off_backlog(now);
+        }
     }
 
     pub(crate) fn tick(&mut self, now: Millis) {
--- a/crates/jasminecart-forward/src/peers.rs
+++ b/crates/jasminecart-forward/src/peers.rs
@@ -155,11 +155,15 @@
         (received, changed)
     }
 
-    pub(crate) fn send(&self, to: &VmId, message: ForwardMessage) {
-        match self.membership.address_of(to) {
-            Some(address) => self.send_to(address.control, message),
-            None => {
-                self.metrics.peer_unknown.inc();
+    /// Sends one message to some VMs.
+    pub(crate) fn send(&self, to: &[VmId], message: ForwardMessage) {
+        let Some(bytes) = self.encode(message) else { return };
+        for vm in to {
+            match self.membership.address_of(vm) {
+                Some(address) => self.send_bytes(address.control, &bytes),
+                None => {
+                    self.metrics.peer_unknown.inc();
+                }
             }
         }
     }
@@ -199,7 +203,7 @@
                 Event::Changed(_) => changed = true,
                 Event::Message(outgoing) => {
                     if let PeerMessage::Member(message) = outgoing.message {
-                        self.send(&outgoing.to, ForwardMessage::Member(message));
+                        self.send(&[outgoing.to], ForwardMessage::Member(message));
                     }
                 }
                 Event::Suspected(vm) => report(&vm, "suspected"),
@@ -213,21 +217,30 @@
     }
 
     fn send_to(&self, to: SocketAddr, message: ForwardMessage) {
+        if let Some(bytes) = self.encode(message) {
+            self.send_bytes(to, &bytes);
+        }
+    }
+
+    fn encode(&self, message: ForwardMessage) -> Option<Vec<u8>> {
         let datagram = PeerDatagram { protocol: PROTOCOL, from: self.me.clone(), message };
-        let bytes = match postcard::to_stdvec(&datagram) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
+        match postcard::to_stdvec(&datagram) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => Some(bytes),
             Ok(bytes) => {
                 let length = bytes.len();
                 warn!(event = "peer-message-too-long", bytes = length; "a message was not sent");
-                return;
+                None
             }
             Err(error) => {
                 let cause = error.to_string();
                 warn!(event = "peer-message-failed", cause = cause.as_str(); "a message was not sent");
-                return;
+                None
             }
-        };
-        match self.socket.try_send_to(&bytes, to) {
+        }
+    }
+
+    fn send_bytes(&self, to: SocketAddr, bytes: &[u8]) {
+        match self.socket.try_send_to(bytes, to) {
             Ok(_) => {
                 self.metrics.peer_sent.inc();
                 self.metrics.peer_sent_bytes.inc_by(bytes.len() as u64);
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -91,10 +91,11 @@
     let router = TokenRouter::new(&settings.me, seed, TokenRouterLimits::default());
     let peer_socket = bind("peer", settings.listen.peers).await?;
     let peers = Peers::new(&settings, peer_socket, incarnation(), seed, metrics);
+    let sharing_limits = SharingLimits::default().with_link(settings.link_megabits);
     let daemon = Daemon {
         forwarder: Forwarder::new(socket, encapsulation, router, shared.clone()),
         peers,
-        sharing: Sharing::new(settings.me.clone(), SharingLimits::default()),
+        sharing: Sharing::new(settings.me.clone(), sharing_limits),
         shared: shared.clone(),
         orders,
         source: Source::Alone,
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -13,6 +13,9 @@
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
 const SPAN: &str = "a span of 1 ms to 1 h such as 250ms, 30s or 5m";
+const DEFAULT_LINK_MEGABITS: u32 = 1_000;
+/// How many thousandths of a core the packets of one Mbit/s keep busy, about 100 packets a second.
+const SIZE_PER_MEGABIT: u32 = 5;
 const MAX_SPAN: Millis = Millis::from_secs(3600);
 
 /// The settings of one forwarding process.
@@ -22,6 +25,8 @@
     pub me: VmId,
     /// The capacity of the VM relative to the others.
     pub size: u32,
+    /// The capacity of the VM's link, in Mbit/s.
+    pub link_megabits: u32,
     /// The addresses of the listeners.
     pub listen: ListenSettings,
     /// The address of the directory of routes and targets.
@@ -120,6 +125,10 @@
     let cores = vm.optional(problems, "cores", share, |text| {
         text.parse().ok().filter(|cores: &f64| (0.001..=1_000.0).contains(cores))
     });
+    let link = vm.optional(problems, "link", "Mbit/s from 1 to 1000000, such as 200", |text| {
+        text.parse().ok().filter(|link: &f64| (1.0..=1e6).contains(link))
+    });
+    let link_megabits = link.map_or(DEFAULT_LINK_MEGABITS, |link| link as u32);
     vm.finish(problems);
     let listen = read_listen(take(sections, "listen"), problems);
     let mut directory = take(sections, "directory");
@@ -137,9 +146,19 @@
     log.finish(problems);
     let me = VmId { data_centre: data_centre?, name: name? };
     let seeds = seeds.unwrap_or_default();
-    // Thousandths of a core, because sizes are whole numbers.
-    let size = (cores.unwrap_or(1.0) * 1_000.0).round() as u32;
-    Some(Settings { me, size, listen: listen?, directory: address?, seeds, limits, log_level })
+    // Thousandths of a core, because sizes are whole numbers, as far as the link can feed them.
+    let cores = (cores.unwrap_or(1.0) * 1_000.0).round() as u32;
+    let size = cores.min(link_megabits.saturating_mul(SIZE_PER_MEGABIT)).max(1);
+    Some(Settings {
+        me,
+        size,
+        link_megabits,
+        listen: listen?,
+        directory: address?,
+        seeds,
+        limits,
+        log_level,
+    })
 }
 
 fn read_listen(mut section: Section, problems: &mut Problems) -> Option<ListenSettings> {
