Keep requests with many bytes in their data centre

Change: the mean bytes of a route's requests raise the cost of targets elsewhere, by 0.1 requests a kilobyte.

Ruled out: more weight for every remote target, which leaves claims waiting at home.

--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -30,6 +30,8 @@
     pub(super) moved: bool,
     /// How often the client repeated a part of the request in progress.
     pub(super) repeats: u8,
+    /// The bytes that the client sent for the request in progress, without repetitions.
+    pub(super) bytes: u32,
 }
 
 /// What a segment of an open flow shows.
@@ -43,8 +45,17 @@
     pub(super) repetition: Option<(Millis, Repetition)>,
     /// The client began a request.
     pub(super) request: bool,
-    /// The client acknowledged the answer to a request that it began at the given time.
-    pub(super) answered: Option<Millis>,
+    /// The client acknowledged the answer to a request.
+    pub(super) answered: Option<Request>,
+}
+
+/// A request that was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Request {
+    /// When the client sent its first packet.
+    pub(super) began_at: Millis,
+    /// The bytes that the client sent.
+    pub(super) bytes: u32,
 }
 
 impl OpenFlow {
@@ -60,6 +71,7 @@
             established: false,
             moved: false,
             repeats: 0,
+            bytes: 0,
         }
     }
 
@@ -76,9 +88,15 @@
             established: true,
             moved: false,
             repeats: 0,
+            bytes: u32::from(segment.payload),
         }
     }
 
+    /// Returns the request in progress.
+    pub(super) fn request(&self) -> Option<Request> {
+        self.request_at.map(|began_at| Request { began_at, bytes: self.bytes })
+    }
+
     /// Takes a segment that follows the opening.
     pub(super) fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Observation {
         let first = !self.established;
@@ -95,10 +113,12 @@
         let end = end_of(segment);
         if segment.payload == 0 {
             if seen.progress && !first {
-                seen.answered = self.request_at.take();
+                let bytes = std::mem::take(&mut self.bytes);
+                seen.answered = self.request_at.take().map(|began_at| Request { began_at, bytes });
             }
         } else if first || is_after(end, self.sent) {
             self.sent = end;
+            self.bytes = self.bytes.saturating_add(u32::from(segment.payload));
             self.waiting_since.get_or_insert(now);
             seen.request = self.request_at.is_none();
             self.request_at.get_or_insert(now);
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -8,12 +8,12 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use super::open_flows::{Observation, OpenFlow, OpenFlows};
+use super::open_flows::{Observation, OpenFlow, OpenFlows, Request};
 use super::routing_token::RoutingToken;
 use super::segment::{ClientSegment, FlowId, SegmentKind};
 use super::silence::{Repetition, Silence, Trust};
-use super::slowness::RouteLatencies;
-use super::steering::{Choice, Steering};
+use super::slowness::RouteMeans;
+use super::steering::{Choice, Steering, Wish};
 use super::target_state::TargetState;
 use crate::hashing::HashMap;
 use crate::names::{Name, VmId};
@@ -159,7 +159,7 @@
     proved_at: Millis,
     /// The silence of whole data centres, which a cut between them causes.
     data_centres: Vec<(Name, Silence)>,
-    latencies: RouteLatencies,
+    means: RouteMeans,
     steering: Steering,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
@@ -184,7 +184,7 @@
             drained_at: Millis::ZERO,
             proved_at: Millis::ZERO,
             data_centres: Vec::new(),
-            latencies: RouteLatencies::default(),
+            means: RouteMeans::default(),
             steering: Steering::new(me.data_centre.clone(), steering_rng),
             rng,
             decision: None,
@@ -200,7 +200,7 @@
         let adopt = self.routes.as_ref().is_none_or(newer);
         if adopt {
             let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
-            self.latencies.retain(|name| names.contains(name));
+            self.means.retain(|name| names.contains(name));
             self.routes = Some(routes);
         }
         adopt
@@ -337,7 +337,8 @@
         let may_try = rule.repeatable == Repeatable::Always;
         self.update_trust(now, &service);
         let members = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let choice = self.steering.choose(now, &self.targets, members, earlier, may_try);
+        let wish = Wish { avoid: earlier, may_try, bytes: self.means.bytes(&rule.name) };
+        let choice = self.steering.choose(now, &self.targets, members, wish);
         let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
         if self.targets[choice.index].trust == Trust::Trial {
             let target = &mut self.targets[choice.index];
@@ -492,16 +493,16 @@
         if seen.progress {
             self.on_progress(now, index);
         }
-        if let Some(request_at) = seen.answered {
+        if let Some(request) = seen.answered {
             let target = &mut self.targets[index];
             target.busy = target.busy.saturating_sub(1);
-            self.note_answer(now, index, rule, now.since(request_at), false);
+            self.note_answer(now, index, rule, request, false);
         }
         let finished = segment.kind == SegmentKind::Finish;
         if finished || segment.kind == SegmentKind::Abort {
-            let request_at = self.end(&segment.flow).and_then(|flow| flow.request_at);
-            if let Some(request_at) = request_at.filter(|_| finished) {
-                self.note_answer(now, index, rule, now.since(request_at), true);
+            let request = self.end(&segment.flow).and_then(|flow| flow.request());
+            if let Some(request) = request.filter(|_| finished) {
+                self.note_answer(now, index, rule, request, true);
             }
         }
         let Some((sent_at, repetition)) = seen.repetition else { return false };
@@ -557,11 +558,12 @@
         now: Millis,
         index: usize,
         rule: &RouteRule,
-        latency: Millis,
+        request: Request,
         opened: bool,
     ) {
+        let latency = now.since(request.began_at);
         let target = &mut self.targets[index];
-        self.latencies.add(now, &rule.name, latency, &mut target.slowness);
+        self.means.add(now, &rule.name, latency, request.bytes, &mut target.slowness);
         let (route, target) = (rule.name.clone(), target.name.clone());
         self.answered = Some(Answered { route, target, latency, opened });
     }
--- a/crates/jasminecart-core/src/flow/token/slowness.rs
+++ b/crates/jasminecart-core/src/flow/token/slowness.rs
@@ -41,34 +41,45 @@
     }
 }
 
-/// The mean latencies of the routes.
+/// The means of the requests of each route.
 #[derive(Debug, Default)]
-pub(super) struct RouteLatencies(HashMap<Name, RouteLatency>);
+pub(super) struct RouteMeans(HashMap<Name, RouteMean>);
 
 #[derive(Clone, Copy, Debug)]
-struct RouteLatency {
+struct RouteMean {
+    /// The logarithm of the latency in milliseconds.
     log: f64,
+    bytes: f64,
     samples: u32,
 }
 
-impl RouteLatencies {
-    /// Takes the latency of one request of a route at a target.
+impl RouteMeans {
+    /// Returns how many bytes clients send for a request of a route; 0 when none was seen.
+    pub(super) fn bytes(&self, route: &Name) -> f64 {
+        self.0.get(route).map_or(0.0, |mean| mean.bytes)
+    }
+
+    /// Takes one request of a route at a target.
     pub(super) fn add(
         &mut self,
         now: Millis,
         route: &Name,
         latency: Millis,
+        bytes: u32,
         target: &mut Slowness,
     ) {
         // A latency below the resolution of the clock counts as its half.
         let log = (latency.get() as f64).max(0.5).ln();
         let mean = match self.0.get_mut(route) {
             Some(mean) => mean,
-            None => self.0.entry(route.clone()).or_insert(RouteLatency { log, samples: 0 }),
+            None => {
+                self.0.entry(route.clone()).or_insert(RouteMean { log, bytes: 0.0, samples: 0 })
+            }
         };
         let weight = ROUTE_WEIGHT.max(1.0 / f64::from(mean.samples + 1));
         mean.samples = mean.samples.saturating_add(1);
         mean.log += weight * (log - mean.log);
+        mean.bytes += weight * (f64::from(bytes) - mean.bytes);
         target.add(now, log - mean.log);
     }
 
--- a/crates/jasminecart-core/src/flow/token/steering.rs
+++ b/crates/jasminecart-core/src/flow/token/steering.rs
@@ -17,6 +17,21 @@
 /// centres are priced, and a cut between them breaks flows.
 const REMOTE_COST: f64 = 0.6;
 
+/// What each kilobyte of a request adds to that cost. A photographed receipt of 40 kB stays in its data centre
+/// unless some requests more wait there.
+const REMOTE_COST_PER_KB: f64 = 0.1;
+
+/// What a new flow asks of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Wish {
+    /// The target that left an earlier copy of the same opening unanswered.
+    pub(super) avoid: Option<usize>,
+    /// Whether the flow may find out whether a silent target is back.
+    pub(super) may_try: bool,
+    /// The bytes that its client is expected to send.
+    pub(super) bytes: f64,
+}
+
 /// What is known of the load of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -53,27 +68,25 @@
         Steering { data_centre, rng }
     }
 
-    /// Chooses among the targets at `members`. `avoid` is the target that left an earlier copy of the same
-    /// opening unanswered, and `may_try` tells whether the flow may find out whether a silent target is back.
-    /// Suspected targets are chosen only when there is no other.
+    /// Chooses among the targets at `members`. Suspected targets are chosen only when there is no other.
     pub(super) fn choose(
         &mut self,
         now: Millis,
         targets: &[TargetState],
         members: &[usize],
-        avoid: Option<usize>,
-        may_try: bool,
+        wish: Wish,
     ) -> Option<Choice> {
         let usable = |index: &&usize| targets[**index].takes_flows && !targets[**index].ambiguous;
         let candidates = members.iter().filter(usable).count();
         let trusted = |index: &&usize| {
             let trust = targets[**index].trust;
-            let allowed = trust == Trust::Trusted || (may_try && trust == Trust::Trial);
-            usable(index) && Some(**index) != avoid && allowed
+            let allowed = trust == Trust::Trusted || (wish.may_try && trust == Trust::Trial);
+            usable(index) && Some(**index) != wish.avoid && allowed
         };
-        let best = self.cheapest(now, targets, members.iter().filter(trusted));
+        let best = self.cheapest(now, targets, members.iter().filter(trusted), wish);
         let all_suspect = best.is_none();
-        let best = best.or_else(|| self.cheapest(now, targets, members.iter().filter(usable)));
+        let best =
+            best.or_else(|| self.cheapest(now, targets, members.iter().filter(usable), wish));
         best.map(|(index, load)| Choice { index, load, candidates, all_suspect })
     }
 
@@ -82,11 +95,12 @@
         now: Millis,
         targets: &[TargetState],
         members: impl Iterator<Item = &'a usize>,
+        wish: Wish,
     ) -> Option<(usize, Load)> {
         let mut best: Option<(usize, Load)> = None;
         let mut ties = 0u32;
         for &index in members {
-            let load = self.load(now, &targets[index]);
+            let load = self.load(now, &targets[index], wish);
             let current = best.map_or(f64::INFINITY, |(_, load)| load.cost);
             if load.cost < current {
                 best = Some((index, load));
@@ -101,10 +115,14 @@
         best
     }
 
-    fn load(&self, now: Millis, target: &TargetState) -> Load {
+    fn load(&self, now: Millis, target: &TargetState, wish: Wish) -> Load {
         let waiting = f64::from(target.busy) + IDLE_FLOW_LOAD * f64::from(target.flows);
         let cold = if now < target.cold_until { COLD_FACTOR } else { 1.0 };
-        let remote = if target.data_centre == self.data_centre { 0.0 } else { REMOTE_COST };
+        let remote = if target.data_centre == self.data_centre {
+            0.0
+        } else {
+            REMOTE_COST + REMOTE_COST_PER_KB * wish.bytes / 1_000.0
+        };
         let slowness = target.slowness.factor(now);
         let cost = (waiting + 1.0) * cold * slowness / f64::from(target.slots.max(1)) + remote;
         Load { busy: target.busy, flows: target.flows, cost }
--- a/crates/jasminecart-core/tests/token/slow_targets.rs
+++ b/crates/jasminecart-core/tests/token/slow_targets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::support::{CLAIM, data, finish, flow, open, router, target};
+use crate::support::{CLAIM, UPLOAD, data, finish, flow, open, router, target};
 use jasminecart_core::Millis;
 use jasminecart_core::flow::token::TokenRouter;
 use rand::{RngExt as _, SeedableRng as _};
@@ -95,3 +95,25 @@
         .count();
     assert!((80..=120).contains(&opened), "{opened} of 200 flows to the target that was slow");
 }
+
+/// Pattern: photographed receipts of 40 kB, with a target in each data centre. Bytes between data centres are
+/// dear, so that uploads stay although some requests more wait there, and small requests do not.
+#[test]
+fn large_requests_stay_in_their_data_centre() {
+    let near = target("n1", "vault", "east", 1);
+    let far = target("f1", "vault", "west", 1);
+    let mut router = router([near, far]);
+    for port in 1..40 {
+        let name = open(&mut router, Millis(10), flow(port, UPLOAD), 0).target;
+        for number in 0..33u32 {
+            let segment = data(flow(port, UPLOAD), &name, 101 + number * 1_200, 1, 1_200);
+            router.on_segment(Millis(20), &segment);
+        }
+        router.on_segment(Millis(30), &finish(flow(port, UPLOAD), &name, 300));
+    }
+    let opened = (100..108).map(|port| open(&mut router, Millis(40), flow(port, UPLOAD), 0).target);
+    assert!(opened.into_iter().all(|name| name.as_str() == "n1"), "an upload left its data centre");
+    let waiting =
+        (200..240).map(|port| open(&mut router, Millis(50), flow(port, UPLOAD), 0).target);
+    assert!(waiting.into_iter().any(|name| name.as_str() == "f1"), "no bound on waiting at home");
+}
