--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -177,19 +177,26 @@
 
 fn read_limits(mut section: Section, problems: &mut Problems) -> LimitSettings {
     let default = LimitSettings::default();
-    let mut span = |key, default| {
-        let valid = |span: &Millis| (Millis(1)..=MAX_SPAN).contains(span);
-        let parse = |text: &str| units::parse_span(text).filter(valid);
-        section.optional(problems, key, SPAN, parse).unwrap_or(default)
-    };
+    let f = &mut section;
     let limits = LimitSettings {
-        stop_after: span("stop_after", default.stop_after),
-        fresh_within: span("fresh_within", default.fresh_within),
+        stop_after: read_span(f, problems, "stop_after", default.stop_after),
+        fresh_within: read_span(f, problems, "fresh_within", default.fresh_within),
     };
     section.finish(problems);
     limits
 }
 
+fn read_span(
+    section: &mut Section,
+    problems: &mut Problems,
+    key: &'static str,
+    default: Millis,
+) -> Millis {
+    let valid = |span: &Millis| (Millis(1)..=MAX_SPAN).contains(span);
+    let parse = |text: &str| units::parse_span(text).filter(valid);
+    section.optional(problems, key, SPAN, parse).unwrap_or(default)
+}
+
 fn parse<T: std::str::FromStr>(text: &str) -> Option<T> {
     text.parse().ok()
 }
--- a/crates/jasminecart/src/command.rs
+++ b/crates/jasminecart/src/command.rs
@@ -12,6 +12,7 @@
 use jasminecart_standin::demo::{self, DemoOptions};
 
 use crate::errors::Result;
+use crate::story::{self, Plot, Scene};
 use crate::{files, operators};
 
 /// The exit codes that each command documents.
@@ -96,6 +97,24 @@
         #[bpaf(positional("ADDRESS"))]
         address: SocketAddr,
     },
+    /// Print the story of a flow or target from the logs of several VMs (exit code 1 if they hold nothing)
+    ///
+    /// Without --flow and --target only changes of what the VMs believe are printed.
+    #[bpaf(command)]
+    Story {
+        /// A flow as logged, such as 100.64.0.7:40001>198.18.0.1:443, or its client's end
+        #[bpaf(long, argument("FLOW"))]
+        flow: Option<String>,
+        /// The name of a target
+        #[bpaf(long, argument("NAME"))]
+        target: Option<String>,
+        /// Leave out changes of belief that concern no single flow
+        #[bpaf(long)]
+        brief: bool,
+        /// The logs, one file for each VM
+        #[bpaf(positional("LOG"), some("name the logs"))]
+        logs: Vec<PathBuf>,
+    },
     /// Explain where a flow or a request goes on a running entry daemon, and why
     #[bpaf(command)]
     Explain {
@@ -135,6 +154,9 @@
         Command::Digest { document } => digest(&document),
         Command::Compare { old, new } => compare_files(&old, &new),
         Command::Status { address } => show(address, "/status").await,
+        Command::Story { flow, target, brief, logs } => {
+            tell(&Plot { flow, target, context: !brief }, &logs)
+        }
         Command::Explain { subject, address } => show(address, &explain_path(&subject)).await,
     };
     result.unwrap_or_else(|error| {
@@ -222,6 +244,14 @@
     }
 }
 
+fn tell(plot: &Plot, logs: &[PathBuf]) -> Result<Exit> {
+    let scenes = story::tell(plot, logs)?;
+    for Scene { time_ms, vm, text } in &scenes {
+        println!("{}.{:03} {vm} {text}", time_ms / 1_000, time_ms % 1_000);
+    }
+    Ok(if scenes.is_empty() { Exit::Negative } else { Exit::Success })
+}
+
 async fn show(address: SocketAddr, path: &str) -> Result<Exit> {
     println!("{}", operators::get(address, path).await?);
     Ok(Exit::Success)
--- a/crates/jasminecart/src/lib.rs
+++ b/crates/jasminecart/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod errors;
 mod files;
 mod operators;
+pub mod story;
 
 pub use jasminecart_core as core;
 pub use jasminecart_entry as entry;
--- a/crates/jasminecart/tests/pages.rs
+++ b/crates/jasminecart/tests/pages.rs
@@ -1,4 +1,4 @@
-//! Checks that the tables of docs/operations.md name exactly the keys that the code reads.
+//! Checks that the tables of docs/OPERATIONS.md name exactly the keys that the code reads.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -14,7 +14,7 @@
 
 /// Reads the rows of a table as section, key and example.
 fn rows(heading: &str) -> Vec<(String, String, String)> {
-    let page = std::fs::read_to_string(repository().join("docs/operations.md")).unwrap();
+    let page = std::fs::read_to_string(repository().join("docs/OPERATIONS.md")).unwrap();
     let part = page.split(&format!("## {heading}\n")).nth(1).unwrap();
     let part = part.split("\n## ").next().unwrap();
     let cells = |line: &str| {
@@ -58,6 +58,13 @@
     Settings::parse(text).err().map(|errors| errors.problems).unwrap_or_default()
 }
 
+fn forward_problems(text: &str) -> Vec<Problem> {
+    jasminecart_forward::Settings::parse(text)
+        .err()
+        .map(|errors| errors.problems)
+        .unwrap_or_default()
+}
+
 // Guards against a documented key that does not exist, a wrong unit, and a key that nobody documented.
 #[test_case("Document keys", document_problems, "crates/jasminecart-core/src/version/parse.rs")]
 #[test_case(
@@ -65,6 +72,11 @@
     settings_problems,
     "crates/jasminecart-entry/src/settings.rs"
 )]
+#[test_case(
+    "Settings of a forwarding VM",
+    forward_problems,
+    "crates/jasminecart-forward/src/settings.rs"
+)]
 fn the_page_lists_the_keys(heading: &str, problems: fn(&str) -> Vec<Problem>, source: &str) {
     let rows = rows(heading);
     let text = text(&rows);
