--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Where the encapsulation offers 32 bits that both ends hand back, every VM can route every packet of an
 //! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
-//! decision. [`TokenRouter`] is the facade; `steering` chooses the target of a new flow, `open_flows`
+//! decision. [`TokenRouter`] is the facade and `verdict` what it
+//! returns; `steering` chooses the target of a new flow, `open_flows`
 //! observes the flows that pass through this VM, `slowness` learns how fast targets answer, and `silence` collects evidence against targets that do
 //! not answer. `docs/platform.md` gives the design; [`super::Router`] serves encapsulations without a token.
 
@@ -14,11 +15,12 @@
 mod slowness;
 mod steering;
 mod target_state;
+mod verdict;
 
-pub use self::router::{
-    Answered, Belief, Decision, Destination, DropCause, ResetCause, TokenCounters, TokenRouter,
-    TokenRouterLimits, Verdict,
-};
+pub use self::router::{TokenRouter, TokenRouterLimits};
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
 pub use self::steering::{Choice, Load};
+pub use self::verdict::{
+    Answered, Belief, Decision, Destination, DropCause, ResetCause, TokenCounters, Verdict,
+};
--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -1,12 +1,10 @@
 //! The facade of token routing.
 
 use std::collections::HashSet;
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
 
 use super::open_flows::{Observation, OpenFlow, OpenFlows, Request};
 use super::routing_token::RoutingToken;
@@ -15,6 +13,7 @@
 use super::slowness::RouteMeans;
 use super::steering::{Choice, Steering, Wish};
 use super::target_state::TargetState;
+use super::verdict::{Answered, Belief, Decision, DropCause, ResetCause, TokenCounters, Verdict};
 use crate::hashing::HashMap;
 use crate::names::{Name, VmId};
 use crate::time::Millis;
@@ -36,112 +35,6 @@
     }
 }
 
-/// Where a packet goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Destination {
-    /// The address of the target.
-    pub address: SocketAddrV4,
-    /// The number by which the target recognises packets that are meant for it.
-    pub label: u64,
-    /// The token that the packet has to carry.
-    pub token: RoutingToken,
-}
-
-/// Why a packet is dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum DropCause {
-    /// This VM has not learned the routes and targets yet.
-    NotReady,
-    /// The flow is open, and no known target has its token.
-    UnknownToken,
-    /// The flow carries no token, although it is no opening.
-    NoToken,
-    /// The token names a target that the route does not lead to.
-    ForeignToken,
-}
-
-/// Why a flow is reset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum ResetCause {
-    /// No route leads from the address.
-    NoRoute,
-    /// The service of the route has no target that takes flows.
-    NoTarget,
-    /// The target of the flow is gone.
-    TargetGone,
-    /// The target of the flow is silent, and the client may repeat its request at another one.
-    TargetSilent,
-}
-
-/// What happens to a packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It is forwarded.
-    Forward(Destination),
-    /// The client is told that the flow is over.
-    Reset(ResetCause),
-    /// It is dropped.
-    Drop(DropCause),
-}
-
-/// A decision about a new flow with its inputs, for the log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Decision {
-    /// The route of the flow.
-    pub route: Name,
-    /// The chosen target.
-    pub target: Name,
-    /// The choice and its inputs.
-    pub choice: Choice,
-    /// The target of an earlier copy of the same opening, if another was chosen now.
-    pub instead_of: Option<Name>,
-    /// The version of the routes.
-    pub version: u64,
-}
-
-/// A request whose answer reached the client, as far as the client's packets show.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Answered {
-    /// The route of the request.
-    pub route: Name,
-    /// The target that answered.
-    pub target: Name,
-    /// From the request's first packet to the acknowledgement of its answer.
-    pub latency: Millis,
-    /// Whether the request opened its flow, so that the latency includes the handshake.
-    pub opened: bool,
-}
-
-/// A change of what the router believes of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Belief {
-    /// The target.
-    pub target: Name,
-    /// Whether it is suspected of not answering.
-    pub suspected: bool,
-}
-
-/// Counts of a [`TokenRouter`].
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct TokenCounters {
-    /// Openings that got a target, copies included.
-    pub openings: u64,
-    /// Repeated openings.
-    pub repeated_openings: u64,
-    /// Repeated openings that went to another target.
-    pub moved_openings: u64,
-    /// Packets of open flows that were forwarded.
-    pub forwarded: u64,
-    /// Flows that were reset.
-    pub resets: u64,
-    /// Packets that were dropped.
-    pub dropped: u64,
-    /// How often a target became suspected of not answering.
-    pub suspicions: u64,
-    /// Targets that get no new flows, because another target has the same token.
-    pub ambiguous_targets: u64,
-}
-
 /// Routes packets whose encapsulation carries a token. See `docs/platform.md`.
 #[derive(Debug)]
 pub struct TokenRouter {
@@ -340,24 +233,37 @@
         let wish = Wish { avoid: earlier, may_try, bytes: self.means.bytes(&rule.name) };
         let choice = self.steering.choose(now, &self.targets, members, wish);
         let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
-        if self.targets[choice.index].trust == Trust::Trial {
-            let target = &mut self.targets[choice.index];
-            target.silence.on_trial();
-            self.data_centres[target.place].1.on_trial();
+        let target = &mut self.targets[choice.index];
+        if target.trust == Trust::Trial {
+            target.silence.on_trial(now);
+            self.data_centres[target.place].1.on_trial(now);
         }
+        let destination = target.destination();
+        let instead_of = earlier.filter(|index| *index != choice.index);
         self.counters.openings += 1;
         self.counters.repeated_openings += u64::from(copy > 0);
-        let instead_of = earlier.filter(|index| *index != choice.index);
         self.counters.moved_openings += u64::from(instead_of.is_some());
-        self.decision = Some(Decision {
+        self.note_decision(rule, choice, instead_of, version);
+        self.observe_opening(now, segment, choice.index, instead_of.is_some());
+        Verdict::Forward(destination)
+    }
+
+    fn note_decision(
+        &mut self,
+        rule: &RouteRule,
+        choice: Choice,
+        instead_of: Option<usize>,
+        version: u64,
+    ) {
+        let name = |index: usize| self.targets[index].name.clone();
+        let decision = Decision {
             route: rule.name.clone(),
-            target: self.targets[choice.index].name.clone(),
+            target: name(choice.index),
             choice,
-            instead_of: instead_of.map(|index| self.targets[index].name.clone()),
+            instead_of: instead_of.map(name),
             version,
-        });
-        self.observe_opening(now, segment, choice.index, instead_of.is_some());
-        Verdict::Forward(self.targets[choice.index].destination())
+        };
+        self.decision = Some(decision);
     }
 
     /// Returns the target that got an earlier copy of the opening, and notes that it did not answer.
--- a/crates/jasminecart-core/src/flow/token/silence.rs
+++ b/crates/jasminecart-core/src/flow/token/silence.rs
@@ -32,6 +32,10 @@
 /// The longest time between two trials, which bounds how late a target is noticed that is back.
 const LONGEST_AVOIDANCE: Millis = Millis(4_000);
 
+/// How long the outcome of a trial is awaited. Its opening is repeated after 200 ms and 600 ms; a trial whose
+/// client went away has no outcome.
+const TRIAL: Millis = Millis(1_000);
+
 /// A packet that a client had to repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Repetition {
@@ -69,8 +73,8 @@
     evidence: u32,
     avoid_until: Millis,
     avoidance: Millis,
-    /// Whether a trial flow is under way.
-    tried: bool,
+    /// Until when the outcome of a trial is awaited.
+    trial_until: Millis,
 }
 
 impl Silence {
@@ -109,21 +113,20 @@
             let next = Millis((self.avoidance.get() * 2).min(LONGEST_AVOIDANCE.get()));
             self.avoidance = next.max(FIRST_AVOIDANCE);
             self.avoid_until = now + self.avoidance;
-            self.tried = false;
         }
         before < SUSPECTED
     }
 
     /// Notes that a new flow goes to the target although it was silent.
-    pub(super) fn on_trial(&mut self) {
-        self.tried = true;
+    pub(super) fn on_trial(&mut self, now: Millis) {
+        self.trial_until = now + TRIAL;
     }
 
     /// Tells what new flows may do.
     pub(super) fn trust(&self, now: Millis) -> Trust {
         if !self.is_suspected() {
             Trust::Trusted
-        } else if now < self.avoid_until || self.tried {
+        } else if now < self.avoid_until.max(self.trial_until) {
             Trust::Suspected
         } else {
             Trust::Trial
--- a/crates/jasminecart-core/src/flow/token/target_state.rs
+++ b/crates/jasminecart-core/src/flow/token/target_state.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddrV4;
 
-use super::router::Destination;
 use super::routing_token::RoutingToken;
 use super::silence::{Silence, Trust};
 use super::slowness::Slowness;
+use super::verdict::Destination;
 use crate::names::Name;
 use crate::time::Millis;
 use crate::version::ListedTarget;
--- a/crates/jasminecart-core/tests/token/silent_targets.rs
+++ b/crates/jasminecart-core/tests/token/silent_targets.rs
@@ -70,6 +70,24 @@
     assert_eq!(claim.target, dead, "an answer ends the suspicion at once");
 }
 
+/// A trial whose client goes away has no outcome, and another one follows. Without a bound the target would
+/// get no flow any more.
+#[test]
+fn a_trial_without_an_outcome_is_repeated() {
+    let mut router = router(["a1", "a2"].map(|name| target(name, "desk", "east", 1)));
+    let dead = open(&mut router, Millis(0), flow(1, CLAIM), 0).target;
+    open(&mut router, Millis(200), flow(1, CLAIM), 1);
+    for port in 2..40 {
+        establish(&mut router, Millis(300), flow(port, CLAIM));
+    }
+    for trial in [1_300, 2_400, 3_500] {
+        let tried = open(&mut router, Millis(trial), flow(trial as u16, FEED), 0);
+        assert_eq!(tried.target, dead, "no trial at {trial} ms");
+        let second = open(&mut router, Millis(trial + 10), flow(trial as u16 + 1, FEED), 0);
+        assert_ne!(second.target, dead, "a second trial at {trial} ms");
+    }
+}
+
 /// Pattern: feeds wait for a target that died. Their clients are told to go elsewhere before the deadline.
 #[test]
 fn feeds_of_a_dead_target_are_reset_and_claims_are_not() {
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -288,5 +288,5 @@
 
 pub(crate) fn report_socket(error: &io::Error) {
     let cause = error.to_string();
-    warn!(event = "packet-socket-failed", cause = cause.as_str(); "the packet socket reported an error");
+    warn!(event = "socket-failed", cause = cause.as_str(); "a UDP socket reported an error");
 }
--- a/crates/jasminecart-forward/src/peers.rs
+++ b/crates/jasminecart-forward/src/peers.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::forwarder::report_socket;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -143,7 +144,14 @@
         let mut changed = false;
         let mut buf = std::mem::take(&mut self.buf);
         for _ in 0..BATCH {
-            let Ok(length) = self.socket.try_recv(&mut buf) else { break };
+            let length = match self.socket.try_recv(&mut buf) {
+                Ok(length) => length,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    report_socket(&error);
+                    break;
+                }
+            };
             let Some(datagram) = PeerDatagram::decode(&buf[..length]) else {
                 self.metrics.peer_malformed.inc();
                 continue;
