--- a/crates/jasminecart-core/src/ini.rs
+++ b/crates/jasminecart-core/src/ini.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 
 use ini_core::{Item, Parser};
+use thiserror::Error;
 
 /// The largest INI text accepted, in bytes. It equals the largest value of the configuration service.
 pub const MAX_TEXT_BYTES: usize = 1 << 20;
@@ -44,6 +45,18 @@
     used: bool,
 }
 
+/// All problems of settings that were refused.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("the settings have {} problems, the first: {}", problems.len(), first(problems))]
+pub struct SettingsErrors {
+    /// The problems in the order of their lines.
+    pub problems: Vec<Problem>,
+}
+
+fn first(problems: &[Problem]) -> String {
+    problems.first().map(Problem::to_string).unwrap_or_default()
+}
+
 /// A section of an INI text with its entries.
 #[derive(Clone, Debug)]
 pub struct Section {
@@ -244,3 +257,22 @@
     }
     section.entries.push(Entry { key: key.to_owned(), value: value.to_owned(), line, used: false });
 }
+
+/// Reports sections of settings whose kind is not in `kinds`, with the nearest one, and sections with a name.
+pub fn report_unknown(sections: &[Section], kinds: &[&'static str], problems: &mut Problems) {
+    for section in sections {
+        if !kinds.contains(&section.kind.as_str()) {
+            let hint = nearest(&section.kind, kinds);
+            let hint = hint.map(|kind| format!("; did you mean {kind:?}?")).unwrap_or_default();
+            section.report(problems, "", format!("unknown section{hint}"));
+        } else if !section.name.is_empty() {
+            section.report(problems, "", "this section has no name");
+        }
+    }
+}
+
+/// Takes a section out of the text; an absent section has no entries, so its required keys are reported.
+pub fn take(sections: &mut Vec<Section>, kind: &str) -> Section {
+    let place = sections.iter().position(|section| section.kind == kind);
+    place.map_or_else(|| Section::empty(kind), |place| sections.swap_remove(place))
+}
--- a/crates/jasminecart-entry/src/settings.rs
+++ b/crates/jasminecart-entry/src/settings.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use jasminecart_core::ini::{self, Problem, Problems, Section};
+pub use jasminecart_core::ini::SettingsErrors;
+use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
 use jasminecart_core::process::{PeerAddress, VmHint};
 use jasminecart_core::time::Millis;
 use jasminecart_core::units;
 use log::LevelFilter;
-use thiserror::Error;
 
 const KINDS: [&str; 6] = ["vm", "listen", "platform", "peers", "limits", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
@@ -122,24 +122,12 @@
     Stdout,
 }
 
-/// All problems of settings that were refused.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("the settings have {} problems, the first: {}", problems.len(), first(problems))]
-pub struct SettingsErrors {
-    /// The problems in the order of their lines.
-    pub problems: Vec<Problem>,
-}
-
-fn first(problems: &[Problem]) -> String {
-    problems.first().map(Problem::to_string).unwrap_or_default()
-}
-
 impl Settings {
     /// Parses and validates settings. All problems are returned at once.
     pub fn parse(text: &str) -> Result<Settings, SettingsErrors> {
         let mut problems = Problems::default();
         let mut sections = ini::sections(text, &mut problems);
-        report_unknown(&sections, &mut problems);
+        ini::report_unknown(&sections, &KINDS, &mut problems);
         let settings = read(&mut sections, &mut problems);
         match settings {
             Some(settings) if problems.is_empty() => Ok(settings),
@@ -154,31 +142,13 @@
     }
 }
 
-fn report_unknown(sections: &[Section], problems: &mut Problems) {
-    for section in sections {
-        if !KINDS.contains(&section.kind.as_str()) {
-            let hint = ini::nearest(&section.kind, &KINDS);
-            let hint = hint.map(|kind| format!("; did you mean {kind:?}?")).unwrap_or_default();
-            section.report(problems, "", format!("unknown section{hint}"));
-        } else if !section.name.is_empty() {
-            section.report(problems, "", "this section has no name");
-        }
-    }
-}
-
-/// Takes a section out of the text; an absent section has no entries, so its required keys are reported.
-fn take(sections: &mut Vec<Section>, kind: &str) -> Section {
-    let place = sections.iter().position(|section| section.kind == kind);
-    place.map_or_else(|| Section::empty(kind), |place| sections.swap_remove(place))
-}
-
 fn read(sections: &mut Vec<Section>, problems: &mut Problems) -> Option<Settings> {
-    let vm = read_vm(take(sections, "vm"), problems);
-    let listen = read_listen(take(sections, "listen"), problems);
-    let platform = read_platform(take(sections, "platform"), problems);
-    let seeds = read_peers(take(sections, "peers"), problems);
-    let limits = read_limits(take(sections, "limits"), problems);
-    let log = read_log(take(sections, "log"), problems);
+    let vm = read_vm(ini::take(sections, "vm"), problems);
+    let listen = read_listen(ini::take(sections, "listen"), problems);
+    let platform = read_platform(ini::take(sections, "platform"), problems);
+    let seeds = read_peers(ini::take(sections, "peers"), problems);
+    let limits = read_limits(ini::take(sections, "limits"), problems);
+    let log = read_log(ini::take(sections, "log"), problems);
     let ((me, size), listen, platform) = (vm?, listen?, platform?);
     Some(Settings { me, size, listen, platform, seeds, limits, log, seed: None })
 }
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -2,12 +2,12 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use jasminecart_core::ini::{self, Problem, Problems, Section};
+pub use jasminecart_core::ini::SettingsErrors;
+use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
 use jasminecart_core::time::Millis;
 use jasminecart_core::units;
 use log::LevelFilter;
-use thiserror::Error;
 
 const KINDS: [&str; 6] = ["vm", "listen", "directory", "peers", "limits", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
@@ -72,18 +72,6 @@
     }
 }
 
-/// All problems of settings that were refused.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("the settings have {} problems, the first: {}", problems.len(), first(problems))]
-pub struct SettingsErrors {
-    /// The problems in the order of their lines.
-    pub problems: Vec<Problem>,
-}
-
-fn first(problems: &[Problem]) -> String {
-    problems.first().map(Problem::to_string).unwrap_or_default()
-}
-
 impl Settings {
     /// Parses and validates settings.
     ///
@@ -93,7 +81,7 @@
     pub fn parse(text: &str) -> Result<Settings, SettingsErrors> {
         let mut problems = Problems::default();
         let mut sections = ini::sections(text, &mut problems);
-        report_unknown(&sections, &mut problems);
+        ini::report_unknown(&sections, &KINDS, &mut problems);
         let settings = read(&mut sections, &mut problems);
         match settings {
             Some(settings) if problems.is_empty() => Ok(settings),
@@ -102,23 +90,8 @@
     }
 }
 
-fn report_unknown(sections: &[Section], problems: &mut Problems) {
-    for section in sections {
-        if !KINDS.contains(&section.kind.as_str()) {
-            let hint = ini::nearest(&section.kind, &KINDS);
-            let hint = hint.map(|kind| format!("; did you mean {kind:?}?")).unwrap_or_default();
-            section.report(problems, "", format!("unknown section{hint}"));
-        }
-    }
-}
-
-fn take(sections: &mut Vec<Section>, kind: &str) -> Section {
-    let place = sections.iter().position(|section| section.kind == kind);
-    place.map_or_else(|| Section::empty(kind), |place| sections.swap_remove(place))
-}
-
 fn read(sections: &mut Vec<Section>, problems: &mut Problems) -> Option<Settings> {
-    let mut vm = take(sections, "vm");
+    let mut vm = ini::take(sections, "vm");
     let name = vm.required(problems, "name", NAME, Name::parse);
     let data_centre = vm.required(problems, "data_centre", NAME, Name::parse);
     let share = "a share of a core from 0.001 to 1000, such as 0.25";
@@ -130,17 +103,17 @@
     });
     let link_megabits = link.map_or(DEFAULT_LINK_MEGABITS, |link| link as u32);
     vm.finish(problems);
-    let listen = read_listen(take(sections, "listen"), problems);
-    let mut directory = take(sections, "directory");
+    let listen = read_listen(ini::take(sections, "listen"), problems);
+    let mut directory = ini::take(sections, "directory");
     let address = directory.required(problems, "address", SOCKET, parse);
     directory.finish(problems);
-    let mut peers = take(sections, "peers");
+    let mut peers = ini::take(sections, "peers");
     let seeds = peers.optional(problems, "seeds", "addresses with commas between them", |text| {
         text.split(',').map(str::trim).filter(|seed| !seed.is_empty()).map(parse).collect()
     });
     peers.finish(problems);
-    let limits = read_limits(take(sections, "limits"), problems);
-    let mut log = take(sections, "log");
+    let limits = read_limits(ini::take(sections, "limits"), problems);
+    let mut log = ini::take(sections, "log");
     let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
     let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
     log.finish(problems);
