Tell everything to a VM that was away longer than deletions are remembered

Cause (read-through): deleted targets are forgotten after 75 s. A VM that was frozen or cut off for longer, with the store out of its reach, asked its peers for changes since its last revision and kept a target that had left for good.

Change: a VM whose knowledge was confirmed more than 60 s ago asks for everything and replaces its list. The test fails without the bound.

--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -23,6 +23,10 @@
     pub alone_after: Millis,
     /// How long a reader that can't reach the store is passed over.
     pub passed_over: Millis,
+    /// How long ago a member may have been current to be told only what changed since. Deletions are
+    /// remembered a little longer, [`crate::version::FORGOTTEN_AFTER`]; a member that was away for longer
+    /// has to be told everything.
+    pub history: Millis,
     /// The most bytes of one statement to all its receivers together. More would hold up the packets of
     /// clients on the same link for longer than their objectives allow.
     pub statement_bytes: usize,
@@ -36,6 +40,7 @@
             standby_after: Millis(1_900),
             alone_after: Millis(2_300),
             passed_over: Millis(4_000),
+            history: Millis::from_secs(60),
             statement_bytes: SharingLimits::statement_bytes(1_000),
         }
     }
@@ -141,6 +146,8 @@
     pub from: VmId,
     /// Changes of targets.
     pub targets: Vec<TargetChange>,
+    /// Whether these are all targets, so that any other one is gone.
+    pub complete: bool,
     /// The new routes, if they changed.
     pub routes: Option<Arc<Routes>>,
     /// The revision up to which they are complete.
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -252,8 +252,12 @@
         revision: Revision,
         age: Millis,
     ) -> Vec<SharingStep> {
-        if unchanged_since > self.position || self.position == Revision(0) {
-            let ask = SharingMessage::Ask { after: self.position };
+        if unchanged_since > self.position
+            || self.position == Revision(0)
+            || self.has_missed_deletions(now)
+        {
+            let after = if self.has_missed_deletions(now) { Revision(0) } else { self.position };
+            let ask = SharingMessage::Ask { after };
             return vec![self.send(vec![from.clone()], ask)];
         }
         if revision >= self.changed_at {
@@ -263,6 +267,11 @@
         Vec::new()
     }
 
+    /// Tells whether this VM was away for so long that its peers may have forgotten deletions since.
+    fn has_missed_deletions(&self, now: Millis) -> bool {
+        self.confirmed_at.is_some() && self.age(now) > self.limits.history
+    }
+
     /// Notes that a peer confirms what this VM knows.
     fn confirm(&mut self, now: Millis, age: Millis) {
         self.has_heard = true;
@@ -284,23 +293,37 @@
             return Vec::new();
         }
         let routes = delta::apply(items.iter(), knowledge.routes);
+        let complete = after == Revision(0);
+        let missed_deletions = self.has_missed_deletions(now);
+        if missed_deletions && !complete {
+            return self.on_gap(from, self.position);
+        }
         let routes = match routes {
             Ok(routes) if after <= self.position => routes,
             Ok(_) | Err(delta::BaseUnknown) => return self.on_gap(from, after),
         };
         self.confirm(now, age);
-        if upto == self.position || items.is_empty() {
+        if !missed_deletions && (upto == self.position || items.is_empty()) {
             self.position = upto;
             return Vec::new();
         }
+        let is_newer = |routes: &Arc<Routes>| {
+            knowledge.routes.is_none_or(|known| routes.revision > known.revision)
+        };
+        let routes = routes.filter(is_newer);
         self.counters.applied += 1;
         self.changed_at = upto;
         let targets = items.into_iter().filter_map(|item| match item {
             SharedItem::Target(change) => Some(change),
             SharedItem::Routes { .. } | SharedItem::Route(..) | SharedItem::RouteGone(_) => None,
         });
-        let changes =
-            SharedChanges { from: from.clone(), targets: targets.collect(), routes, upto };
+        let changes = SharedChanges {
+            from: from.clone(),
+            targets: targets.collect(),
+            complete,
+            routes,
+            upto,
+        };
         if let Some(routes) = &changes.routes {
             self.history.add(routes.clone());
         }
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -109,6 +109,14 @@
 }
 
 impl TargetChange {
+    /// Returns the record that was written.
+    pub fn into_written(self) -> Option<TargetRecord> {
+        match self {
+            TargetChange::Written(record) => Some(record),
+            TargetChange::Deleted { .. } => None,
+        }
+    }
+
     /// Returns the name of the target.
     pub fn name(&self) -> &Name {
         match self {
--- a/crates/jasminecart-core/tests/token/sharing.rs
+++ b/crates/jasminecart-core/tests/token/sharing.rs
@@ -140,6 +140,7 @@
         if !vm.running {
             return;
         }
+        vm.targets.expire(now);
         let mut steps = vm.sharing.tick(now);
         let position = vm.sharing.position();
         let ended = vm.watch_ends.is_none_or(|end| now >= end);
@@ -191,8 +192,13 @@
     fn apply(&mut self, id: &VmId, changes: SharedChanges) {
         let now = self.now;
         let vm = self.vms.get_mut(id).expect("a VM");
-        for change in changes.targets {
-            vm.targets.apply(now, change);
+        if changes.complete {
+            let records = changes.targets.into_iter().filter_map(TargetChange::into_written);
+            vm.targets.replace(now, records.collect(), changes.upto);
+        } else {
+            for change in changes.targets {
+                vm.targets.apply(now, change);
+            }
         }
         if let Some(routes) = changes.routes {
             assert!(
@@ -357,6 +363,23 @@
     centre.assert_current();
 }
 
+/// A VM that was away for longer than its peers remember deletions is told everything, so that a target that
+/// left meanwhile does not stay for good. The store turns the VM away.
+#[test]
+fn a_vm_that_was_away_for_long_learns_of_deletions() {
+    let mut centre = DataCentre::new(4);
+    centre.write(target("a2", "desk", "east", 0));
+    centre.run(Millis(4_000));
+    let sleeper = centre.vms.keys().next().expect("a VM").clone();
+    centre.vms.get_mut(&sleeper).expect("a VM").running = false;
+    centre.delete("a1");
+    centre.run(Millis(90_000));
+    let vm = centre.vms.get_mut(&sleeper).expect("a VM");
+    (vm.running, vm.reaches_store) = (true, false);
+    centre.run(Millis(3_000));
+    centre.assert_current();
+}
+
 /// Routes and targets that exceed a datagram arrive in parts. On a small link the peers read the store, so that
 /// the reader's packets of clients are not held up (a rule was broken by that at 10 Mbit/s).
 #[test_case(1_000, 0; "a large link carries them")]
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -225,7 +225,15 @@
     /// Takes what a peer knows.
     pub(crate) fn take_shared(&mut self, now: Millis, changes: SharedChanges) {
         let source = changes.from.name;
-        self.apply(now, changes.targets, changes.upto, source.as_str());
+        if changes.complete {
+            let records = changes.targets.into_iter().filter_map(TargetChange::into_written);
+            let effects = self.router.set_targets(now, records.collect(), changes.upto);
+            for (name, effect) in &effects {
+                events::target_changed(name, *effect, changes.upto, source.as_str());
+            }
+        } else {
+            self.apply(now, changes.targets, changes.upto, source.as_str());
+        }
         if let Some(routes) = changes.routes {
             self.adopt(routes, source.as_str());
         }
