Tell followers which deletions may be lapses

Cause (read-through): after an outage of the store only the VM that reads it knew that deleted entries may have lapsed. Its followers took them for gone and refused callers until the targets had registered again, about 2 s.

Change: a deletion carries whether it may be a lapse. The test of followers fails without it.

--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -105,6 +105,8 @@
         name: Name,
         /// The revision of the deletion.
         revision: Revision,
+        /// Whether the record may only have lapsed while the store was away, as the VM knows that read it.
+        lapsed: bool,
     },
 }
 
@@ -159,7 +161,9 @@
     pub fn apply(&mut self, now: Millis, change: TargetChange) -> Effect {
         match change {
             TargetChange::Written(record) => self.write(now, record),
-            TargetChange::Deleted { name, revision } => self.delete(now, &name, revision),
+            TargetChange::Deleted { name, revision, lapsed } => {
+                self.delete(now, &name, revision, lapsed)
+            }
         }
     }
 
@@ -190,7 +194,7 @@
             effects.push((name, self.write(now, record)));
         }
         for name in missing {
-            let effect = self.delete(now, &name, revision);
+            let effect = self.delete(now, &name, revision, false);
             effects.push((name, effect));
         }
         effects.retain(|(_, effect)| *effect != Effect::Ignored);
@@ -214,8 +218,8 @@
         if restarted { Effect::Restarted } else { Effect::Changed }
     }
 
-    fn delete(&mut self, now: Millis, name: &Name, revision: Revision) -> Effect {
-        let lapses = now < self.lapse_until;
+    fn delete(&mut self, now: Millis, name: &Name, revision: Revision, lapsed: bool) -> Effect {
+        let lapses = lapsed || now < self.lapse_until;
         let Some(known) = self.targets.get_mut(name) else { return Effect::Ignored };
         if revision < known.record.revision || known.presence != Presence::Listed {
             return Effect::Ignored;
@@ -277,6 +281,7 @@
             Presence::Lapsed { .. } | Presence::Removed { .. } => TargetChange::Deleted {
                 name: target.record.name.clone(),
                 revision: target.record.revision,
+                lapsed: matches!(target.presence, Presence::Lapsed { .. }),
             },
         })
     }
--- a/crates/jasminecart-core/tests/token/routing.rs
+++ b/crates/jasminecart-core/tests/token/routing.rs
@@ -111,7 +111,8 @@
 fn flows_of_a_target_that_left_are_reset_after_a_while() {
     let mut router = router([target("a1", "desk", "east", 1), target("a2", "desk", "east", 1)]);
     let name = establish(&mut router, Millis(10), flow(1, FEED));
-    let deleted = TargetChange::Deleted { name: name.clone(), revision: Revision(200) };
+    let deleted =
+        TargetChange::Deleted { name: name.clone(), revision: Revision(200), lapsed: false };
     assert_eq!(router.change_target(Millis(100), deleted), Effect::Removed);
     let segment = data(flow(1, FEED), &name, 101, 1, 50);
     let before = Millis(100) + GONE_AFTER - Millis(1);
@@ -128,7 +129,8 @@
 fn targets_that_lapsed_in_an_outage_still_get_flows_for_a_while() {
     let mut router = router([target("a1", "desk", "east", 1)]);
     router.set_store_returned(Millis(1_000));
-    let deleted = TargetChange::Deleted { name: Name::new("a1"), revision: Revision(200) };
+    let deleted =
+        TargetChange::Deleted { name: Name::new("a1"), revision: Revision(200), lapsed: false };
     router.change_target(Millis(1_010), deleted);
     open(&mut router, Millis(1_020), flow(1, FEED), 0);
     let end = Millis(1_010) + LAPSE_GRACE;
@@ -145,7 +147,8 @@
     let mut router = router([target("a1", "desk", "east", 50)]);
     let old = TargetChange::Written(target("a1", "desk", "east", 49));
     assert_eq!(router.change_target(Millis(10), old), Effect::Ignored);
-    let deleted = TargetChange::Deleted { name: Name::new("a1"), revision: Revision(60) };
+    let deleted =
+        TargetChange::Deleted { name: Name::new("a1"), revision: Revision(60), lapsed: false };
     assert_eq!(router.change_target(Millis(20), deleted.clone()), Effect::Removed);
     let old = TargetChange::Written(target("a1", "desk", "east", 55));
     assert_eq!(router.change_target(Millis(30), old), Effect::Ignored);
@@ -267,7 +270,7 @@
                 }
                 6 => {
                     let revision = Revision(revision);
-                    router.change_target(now, TargetChange::Deleted { name, revision });
+                    router.change_target(now, TargetChange::Deleted { name, revision, lapsed: false });
                     continue;
                 }
                 _ => {
--- a/crates/jasminecart-core/tests/token/sharing.rs
+++ b/crates/jasminecart-core/tests/token/sharing.rs
@@ -111,7 +111,10 @@
 
     fn delete(&mut self, name: &str) {
         let revision = Revision(self.revision().0 + 1);
-        self.store.push((revision, TargetChange::Deleted { name: Name::new(name), revision }));
+        self.store.push((
+            revision,
+            TargetChange::Deleted { name: Name::new(name), revision, lapsed: false },
+        ));
     }
 
     fn configure(&mut self, change: impl FnOnce(&mut Routes)) {
@@ -363,6 +366,25 @@
     centre.assert_current();
 }
 
+/// The store is back after an outage in which its entries lapsed. The reader knows that, and its peers must not
+/// refuse callers for want of targets until these have registered again.
+#[test]
+fn lapsed_targets_stay_usable_at_followers() {
+    let mut centre = DataCentre::new(3);
+    centre.run(Millis(4_000));
+    let reader = centre.readers().remove(0);
+    let now = centre.now;
+    centre.vms.get_mut(&reader).expect("a VM").targets.set_store_returned(now);
+    centre.delete("a1");
+    centre.run(Millis(300));
+    for (id, vm) in &centre.vms {
+        assert_eq!(vm.sharing.position(), centre.revision(), "{id} has not learned it");
+        assert_eq!(vm.targets.usable(), 1, "{id} gave up a lapsed target");
+    }
+    centre.run(Millis(4_000));
+    assert!(centre.vms.values().all(|vm| vm.targets.usable() == 0), "a lapsed target stayed");
+}
+
 /// A VM that was away for longer than its peers remember deletions is told everything, so that a target that
 /// left meanwhile does not stay for good. The store turns the VM away.
 #[test]
