--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) peer_received: Counter,
     pub(crate) peer_malformed: Counter,
     pub(crate) peer_unknown: Counter,
+    pub(crate) reloads: Counter,
+    pub(crate) reloads_refused: Counter,
     pub(crate) log_lines_suppressed: Counter,
     pub(crate) log_lines_lost: Gauge,
 }
@@ -98,6 +100,8 @@
             peer_received: register!(peer_received, "Datagrams received from other VMs"),
             peer_malformed: register!(peer_malformed, "Datagrams of peers that can't be read"),
             peer_unknown: register!(peer_unknown, "Messages to VMs whose address is not known"),
+            reloads: register!(reloads, "Settings read again and put into force"),
+            reloads_refused: register!(reloads_refused, "Settings read again and refused"),
             log_lines_suppressed: register!(
                 log_lines_suppressed,
                 "Decisions not logged, because the volume of the log is bounded"
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -153,11 +153,13 @@
         Ok(settings) => {
             shared.readiness.set_fresh_within(settings.limits.fresh_within);
             log::set_max_level(settings.log_level);
+            shared.metrics.reloads.inc();
             let restart = settings.listen != current.listen || settings.me != current.me;
             info!(event = "reload", needs_restart = restart; "the settings were read again");
             settings
         }
         Err(error) => {
+            shared.metrics.reloads_refused.inc();
             let cause = error.to_string();
             warn!(event = "reload-refused", cause = cause.as_str(); "the present settings stay in force");
             current
