--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -256,11 +256,6 @@
         expired
     }
 
-    /// Returns a target by its name.
-    pub fn get(&self, name: &str) -> Option<&ListedTarget> {
-        self.targets.get(name)
-    }
-
     /// Returns all targets, gone ones included, in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &ListedTarget> {
         self.targets.values()
