Measure the choice of targets for flows with a routing token

The new case 'steering' drives the router with the segments that clients send, at 50 to 120 % load, with a 4-fold spread of speeds, two slots and a queue of 8, cold replacements and VMs of unequal size.

--- a/crates/jasminecart-bench/src/bin/measure.rs
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -5,7 +5,9 @@
 
 use bpaf::Bpaf;
 use jasminecart_bench::report::Report;
-use jasminecart_bench::{capacity, documents, faults, flows, membership, packets, requests};
+use jasminecart_bench::{
+    capacity, documents, faults, flows, membership, packets, requests, steering,
+};
 use jasminecart_core::invariant;
 use peak_alloc::PeakAlloc;
 
@@ -34,6 +36,9 @@
     /// Packets per second of the packet path on one core, next to a plain forwarder
     #[bpaf(command)]
     Packets(#[bpaf(external(common))] Common),
+    /// Choice of targets for flows with a routing token, next to three baselines
+    #[bpaf(command)]
+    Steering(#[bpaf(external(common))] Common),
 }
 
 #[derive(Clone, Debug, Bpaf)]
@@ -89,5 +94,6 @@
         Case::Faults(options) => faults::run(options.seed, options.steps),
         Case::Capacity(options) => capacity::run(options.seed, options.plots.as_deref()),
         Case::Packets(common) => packets::run(common.seed),
+        Case::Steering(common) => steering::run(common.seed),
     }
 }
--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod packets;
 pub mod report;
 pub mod requests;
+pub mod steering;
 mod token_packets;
--- /dev/null
+++ b/crates/jasminecart-bench/src/steering/mod.rs
@@ -0,0 +1,116 @@
+//! Case `steering`: the choice of targets for flows with a routing token, next to three baselines.
+//!
+//! The **queueing time** is the time between a request's arrival at a target and the start of its work. A request
+//! is late when its answer comes after its objective, counted from its first attempt; refused to the end counts as
+//! late too. The share of late requests has to be below every baseline's at every load, and p99 where no baseline
+//! hides its waiting by refusing more.
+
+mod sim;
+
+use serde_json::{Value, json};
+
+use self::sim::{Figures, Policy, Scenario, Sim};
+use crate::report::Report;
+
+const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+const POLICIES: [Policy; 5] = [
+    Policy::Router,
+    Policy::SharedRouter,
+    Policy::Random,
+    Policy::LeastOutstanding,
+    Policy::LeastFlows,
+];
+/// The span in which targets' speeds are learned, and the measured one, in ms.
+const WARM_UP: u64 = 20_000;
+const SPAN: u64 = 120_000;
+
+struct Row {
+    policy: Policy,
+    load: f64,
+    replaced: bool,
+    figures: Figures,
+}
+
+/// Runs the case.
+pub fn run(seed: u64) -> Report {
+    let rows = rows(seed);
+    let failures = check(&rows);
+    let mut table = vec![format!(
+        "{:>5} {:<22} {:<10} {:>5} {:>5} {:>6} {:>8} {:>8} {:>9} {:>7}",
+        "load", "policy", "targets", "p50", "p99", "worst", "late", "refused", "busiest", "remote"
+    )];
+    table.extend(rows.iter().map(line));
+    table.extend(failures.iter().map(|failure| format!("FAILED: {failure}")));
+    let values: Vec<Value> = rows.iter().map(value).collect();
+    let figures = json!({ "seed": seed, "rows": values, "failures": failures });
+    Report::new(table, figures).with_failed(!failures.is_empty())
+}
+
+fn rows(seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for replaced in [false, true] {
+        for load in LOADS {
+            for policy in POLICIES {
+                let (from, until) = (WARM_UP, WARM_UP + SPAN);
+                let scenario = Scenario { seed, policy, load, replaced, from, until };
+                rows.push(Row { policy, load, replaced, figures: Sim::new(scenario).run() });
+            }
+        }
+    }
+    rows
+}
+
+fn check(rows: &[Row]) -> Vec<String> {
+    let mut failures = Vec::new();
+    let baselines = [Policy::Random, Policy::LeastOutstanding, Policy::LeastFlows];
+    for row in rows.iter().filter(|row| row.policy == Policy::Router) {
+        let same = |other: &&Row| other.load == row.load && other.replaced == row.replaced;
+        for other in rows.iter().filter(same).filter(|row| baselines.contains(&row.policy)) {
+            let at = format!("at {:.0} % load against {}", row.load * 100.0, other.policy.name());
+            let (mine, theirs) = (row.figures.late_share(), other.figures.late_share());
+            if mine >= theirs {
+                failures.push(format!("late {mine:.4} is not below {theirs:.4} {at}"));
+            }
+            let (mine, theirs) = (row.figures.quantile(0.99), other.figures.quantile(0.99));
+            if mine >= theirs && row.figures.refused >= other.figures.refused {
+                failures.push(format!("p99 {mine} ms is not below {theirs} ms {at}"));
+            }
+        }
+    }
+    failures
+}
+
+fn line(row: &Row) -> String {
+    let figures = &row.figures;
+    let share = |count: u64| 100.0 * count as f64 / figures.requests.max(1) as f64;
+    format!(
+        "{:>4.0}% {:<22} {:<10} {:>5} {:>5} {:>6} {:>7.2}% {:>7.2}% {:>9.2} {:>6.0}%",
+        row.load * 100.0,
+        row.policy.name(),
+        if row.replaced { "replaced" } else { "steady" },
+        figures.quantile(0.5),
+        figures.quantile(0.99),
+        figures.quantile(1.0),
+        100.0 * figures.late_share(),
+        share(figures.refused),
+        figures.busiest_to_mean,
+        share(figures.remote),
+    )
+}
+
+fn value(row: &Row) -> Value {
+    let figures = &row.figures;
+    json!({
+        "policy": row.policy.name(),
+        "load": row.load,
+        "replaced": row.replaced,
+        "p50_ms": figures.quantile(0.5),
+        "p99_ms": figures.quantile(0.99),
+        "worst_ms": figures.quantile(1.0),
+        "late_share": figures.late_share(),
+        "refused": figures.refused,
+        "requests": figures.requests,
+        "busiest_to_mean": figures.busiest_to_mean,
+        "remote": figures.remote,
+    })
+}
