Tell refusals from answers by their length

Acknowledgements that packets overtook counted as progress.

Only an acknowledgement beyond the last one is progress.

The measurement itself first dropped the rest of a refused feed and sent retries through the same VM; both were corrected.

--- a/crates/jasminecart-bench/src/steering/sim.rs
+++ b/crates/jasminecart-bench/src/steering/sim.rs
@@ -124,6 +124,11 @@
     OpenFeed,
     OpenClaim,
     Replace(usize),
+    /// A client goes on with its feed on a new flow.
+    Reopen {
+        vm: u32,
+        left: u32,
+    },
     /// The client of a flow sends a request.
     Send(u32),
     /// A request arrives at the target of its flow.
@@ -317,6 +322,7 @@
         match event {
             Event::OpenFeed | Event::OpenClaim => self.arrive(event),
             Event::Replace(target) => self.replace(target),
+            Event::Reopen { vm, left } => self.open(vm as usize, true, left, 0, self.now),
             Event::Send(flow) => self.send(flow),
             Event::Reach(flow) => self.reach(flow),
             Event::Done(flow) => self.done(flow),
@@ -479,28 +485,39 @@
         let (vm, target, feed) = (flow.vm, flow.target, flow.id.service == FEED);
         self.seen[vm].requests[target] -= 1;
         let current = flow.incarnation == self.targets[target].incarnation;
-        flow.left -= u32::from(!refused);
-        let (left, tries, sent_at) = (flow.left, flow.tries, flow.sent_at);
+        let (tries, sent_at) = (flow.tries, flow.sent_at);
         if refused && tries < RETRIES {
+            let left = flow.left;
             self.close(number);
+            let vm = self.another_vm(vm);
             return self.open(vm, feed, left, tries + 1, sent_at);
         }
+        flow.left -= 1;
+        let left = flow.left;
         self.count(number, refused);
+        let next = self.now + Self::span(&mut self.work, FEED_PAUSE_MS).max(1);
         if left == 0 || refused || !current {
             self.close(number);
-            if left > 0 && !refused {
-                self.open(vm, feed, left, 0, self.now);
+            if left > 0 {
+                let vm = self.another_vm(vm) as u32;
+                self.at(next, Event::Reopen { vm, left });
             }
             return;
         }
         self.show(number, SegmentKind::Data, 0);
-        let next = self.now + Self::span(&mut self.work, FEED_PAUSE_MS).max(1);
         let flow = &mut self.flows[number as usize];
         (flow.sent_at, flow.tries) = (next, 0);
         flow.counted = next >= self.scenario.from;
         self.at(next, Event::Send(number));
     }
 
+    /// Returns the VM that gets a client's next flow, by its new port: one of the same data centre.
+    fn another_vm(&mut self, vm: usize) -> usize {
+        let near: Vec<usize> =
+            (0..VM_SIZES.len()).filter(|other| data_centre(*other) == data_centre(vm)).collect();
+        near[self.work.random_range(0..near.len())]
+    }
+
     fn count(&mut self, number: u32, refused: bool) {
         let flow = &self.flows[number as usize];
         if !flow.counted {
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -8,6 +8,7 @@
 //! not answer. `docs/platform.md` gives the design; [`super::Router`] serves encapsulations without a token.
 
 mod open_flows;
+mod refusal;
 mod router;
 mod routing_token;
 mod segment;
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -32,6 +32,8 @@
     pub(super) repeats: u8,
     /// The bytes that the client sent for the request in progress, without repetitions.
     pub(super) bytes: u32,
+    /// The client's acknowledgement when the request in progress began.
+    answer_from: u32,
 }
 
 /// What a segment of an open flow shows.
@@ -56,6 +58,9 @@
     pub(super) began_at: Millis,
     /// The bytes that the client sent.
     pub(super) bytes: u32,
+    /// The bytes of the answer that the client has acknowledged. It acknowledges a long answer in parts, so
+    /// that this is its beginning.
+    pub(super) answer_bytes: u32,
 }
 
 impl OpenFlow {
@@ -72,6 +77,7 @@
             moved: false,
             repeats: 0,
             bytes: 0,
+            answer_from: 0,
         }
     }
 
@@ -89,19 +95,23 @@
             moved: false,
             repeats: 0,
             bytes: u32::from(segment.payload),
+            answer_from: segment.ack,
         }
     }
 
     /// Returns the request in progress.
     pub(super) fn request(&self) -> Option<Request> {
-        self.request_at.map(|began_at| Request { began_at, bytes: self.bytes })
+        let answer_bytes = self.acked.wrapping_sub(self.answer_from);
+        self.request_at.map(|began_at| Request { began_at, bytes: self.bytes, answer_bytes })
     }
 
     /// Takes a segment that follows the opening.
     pub(super) fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Observation {
         let first = !self.established;
-        let mut seen =
-            Observation { progress: first || segment.ack != self.acked, ..Observation::default() };
+        let mut seen = Observation {
+            progress: first || is_after(segment.ack, self.acked),
+            ..Observation::default()
+        };
         if seen.progress {
             self.repeats = 0;
             let waited = self.waiting_since.take();
@@ -109,19 +119,27 @@
         }
         self.last_at = now;
         self.established = true;
-        self.acked = segment.ack;
+        // Packets that overtake each other on the way acknowledge less than was acknowledged before.
+        if seen.progress {
+            self.acked = segment.ack;
+        }
+        if first {
+            self.answer_from = segment.ack;
+        }
         let end = end_of(segment);
         if segment.payload == 0 {
             if seen.progress && !first {
-                let bytes = std::mem::take(&mut self.bytes);
-                seen.answered = self.request_at.take().map(|began_at| Request { began_at, bytes });
+                seen.answered = self.request();
+                (self.request_at, self.bytes) = (None, 0);
             }
         } else if first || is_after(end, self.sent) {
             self.sent = end;
             self.bytes = self.bytes.saturating_add(u32::from(segment.payload));
             self.waiting_since.get_or_insert(now);
-            seen.request = self.request_at.is_none();
-            self.request_at.get_or_insert(now);
+            if self.request_at.is_none() {
+                seen.request = true;
+                (self.request_at, self.answer_from) = (Some(now), segment.ack);
+            }
         } else {
             self.repeats = self.repeats.saturating_add(1);
             let repetition = Repetition::Request(self.repeats);
--- a/crates/jasminecart-core/src/flow/token/router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/router/learning.rs
@@ -153,7 +153,7 @@
         self.flows.insert(segment.flow, flow);
     }
 
-    /// Learns from a request whose answer the client acknowledged.
+    /// Learns from a request of which the client acknowledged an answer.
     fn note_answer(
         &mut self,
         now: Millis,
@@ -163,10 +163,18 @@
         opened: bool,
     ) {
         let latency = now.since(request.began_at);
+        let refused = self.means.is_refusal(&rule.name, &request);
         let target = &mut self.targets[index];
-        self.means.add(now, &rule.name, latency, request.bytes, &mut target.slowness);
+        if refused {
+            // How fast a target refuses says nothing about how fast it works.
+            target.refusals.add(now);
+            self.counters.refusals += 1;
+        } else {
+            self.means.add(now, &rule.name, latency, &request, &mut target.slowness);
+        }
         let (route, target) = (rule.name.clone(), target.name.clone());
-        self.answered = Some(Answered { route, target, latency, opened });
+        let bytes = request.answer_bytes;
+        self.answered = Some(Answered { route, target, latency, opened, refused, bytes });
     }
 
     pub(super) fn end(&mut self, flow: &FlowId) -> Option<OpenFlow> {
--- a/crates/jasminecart-core/src/flow/token/slowness.rs
+++ b/crates/jasminecart-core/src/flow/token/slowness.rs
@@ -4,6 +4,8 @@
 //! decades, so that means are taken of their logarithms, relative to the route's own mean. The result includes
 //! waiting at the target, which makes an overloaded target look slow, as intended.
 
+use super::open_flows::Request;
+use super::refusal::is_short;
 use crate::hashing::HashMap;
 use crate::names::Name;
 use crate::time::Millis;
@@ -50,6 +52,7 @@
     /// The logarithm of the latency in milliseconds.
     log: f64,
     bytes: f64,
+    answer_bytes: f64,
     samples: u32,
 }
 
@@ -59,13 +62,19 @@
         self.0.get(route).map_or(0.0, |mean| mean.bytes)
     }
 
-    /// Takes one request of a route at a target.
+    /// Tells whether the answer to a request of a route is too short to be one that did the work.
+    pub(super) fn is_refusal(&self, route: &Name, request: &Request) -> bool {
+        let mean = self.0.get(route);
+        mean.is_some_and(|mean| is_short(request.answer_bytes, mean.answer_bytes, mean.samples))
+    }
+
+    /// Takes one request of a route that a target served in `latency`.
     pub(super) fn add(
         &mut self,
         now: Millis,
         route: &Name,
         latency: Millis,
-        bytes: u32,
+        request: &Request,
         target: &mut Slowness,
     ) {
         // A latency below the resolution of the clock counts as its half.
@@ -73,13 +82,15 @@
         let mean = match self.0.get_mut(route) {
             Some(mean) => mean,
             None => {
-                self.0.entry(route.clone()).or_insert(RouteMean { log, bytes: 0.0, samples: 0 })
+                let first = RouteMean { log, bytes: 0.0, answer_bytes: 0.0, samples: 0 };
+                self.0.entry(route.clone()).or_insert(first)
             }
         };
         let weight = ROUTE_WEIGHT.max(1.0 / f64::from(mean.samples + 1));
         mean.samples = mean.samples.saturating_add(1);
         mean.log += weight * (log - mean.log);
-        mean.bytes += weight * (f64::from(bytes) - mean.bytes);
+        mean.bytes += weight * (f64::from(request.bytes) - mean.bytes);
+        mean.answer_bytes += weight * (f64::from(request.answer_bytes) - mean.answer_bytes);
         target.add(now, log - mean.log);
     }
 
--- a/crates/jasminecart-core/src/flow/token/steering.rs
+++ b/crates/jasminecart-core/src/flow/token/steering.rs
@@ -116,7 +116,8 @@
     }
 
     fn load(&self, now: Millis, target: &TargetState, wish: Wish) -> Load {
-        let waiting = f64::from(target.busy) + IDLE_FLOW_LOAD * f64::from(target.flows);
+        let seen = f64::from(target.busy) + IDLE_FLOW_LOAD * f64::from(target.flows);
+        let waiting = seen + target.refusals.load(now);
         let cold = if now < target.cold_until { COLD_FACTOR } else { 1.0 };
         let remote = if target.data_centre == self.data_centre {
             0.0
--- a/crates/jasminecart-core/src/flow/token/target_state.rs
+++ b/crates/jasminecart-core/src/flow/token/target_state.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use super::refusal::Refusals;
 use super::routing_token::RoutingToken;
 use super::silence::{Silence, Trust};
 use super::slowness::Slowness;
@@ -39,6 +40,7 @@
     /// every opening asks it of every target.
     pub(super) trust: Trust,
     pub(super) slowness: Slowness,
+    pub(super) refusals: Refusals,
 }
 
 impl TargetState {
@@ -62,6 +64,7 @@
             silence: Silence::default(),
             trust: Trust::Trusted,
             slowness: Slowness::default(),
+            refusals: Refusals::default(),
         }
     }
 
@@ -76,6 +79,7 @@
         self.busy = earlier.busy;
         self.silence = earlier.silence.clone();
         self.slowness = earlier.slowness;
+        self.refusals = earlier.refusals;
         self
     }
 }
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -83,6 +83,10 @@
     pub latency: Millis,
     /// Whether the request opened its flow, so that the latency includes the handshake.
     pub opened: bool,
+    /// Whether the answer was so short that the target probably refused or failed the request.
+    pub refused: bool,
+    /// The bytes of the answer that the client has acknowledged so far.
+    pub bytes: u32,
 }
 
 /// A change of what the router believes of a target.
@@ -111,6 +115,8 @@
     pub dropped: u64,
     /// How often a target became suspected of not answering.
     pub suspicions: u64,
+    /// Answers so short that the target probably refused or failed the request.
+    pub refusals: u64,
     /// Targets that get no new flows, because another target has the same token.
     pub ambiguous_targets: u64,
 }
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -110,7 +110,8 @@
     debug!(
         event = "request-answered", flow = flow(&segment.flow).as_str(),
         route = answered.route.as_str(), target = answered.target.as_str(),
-        latency_ms = answered.latency.get(), opened = answered.opened;
+        latency_ms = answered.latency.get(), opened = answered.opened,
+        bytes = answered.bytes, refused = answered.refused;
         "a request was answered"
     );
 }
