Drop openings instead of refusing them while targets may still register again

Entries lapsed in an outage of the store; a VM that started right after its return read a list without the service's targets and refused every opening ('no-target') for 0.5 to 1.5 s until they had registered again. The refusals were true, and their clients used up their tries within milliseconds.

Change: within 2.5 s of the store's return, and of the first list of a process, an opening without a target is dropped; its copies after 200 and 600 ms find one.

--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -232,7 +232,12 @@
         }
         let earlier = self.earlier_target(now, &segment.flow, copy);
         let Some(service) = self.pick_service(rule) else {
-            return Verdict::Reset(ResetCause::NoTarget);
+            // The client's copies follow after 200 ms and 600 ms, when its target may be listed again.
+            return if self.list.is_settled(now) {
+                Verdict::Reset(ResetCause::NoTarget)
+            } else {
+                Verdict::Drop(DropCause::NoTargetYet)
+            };
         };
         let may_try = rule.repeatable == Repeatable::Always;
         self.update_trust(now, &service);
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -25,6 +25,8 @@
 pub enum DropCause {
     /// This VM has not learned the routes and targets yet.
     NotReady,
+    /// The service of the route has no target, and live ones may still have to register again.
+    NoTargetYet,
     /// The flow is open, and no known target has its token.
     UnknownToken,
     /// The flow carries no token, although it is no opening.
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -149,6 +149,8 @@
     targets: BTreeMap<Name, ListedTarget>,
     /// Until when deletions count as lapses, because the store was away shortly before.
     lapse_until: Millis,
+    /// When the first whole list was taken. Entries that lapsed before may be missing in it.
+    first_list_at: Option<Millis>,
 }
 
 impl TargetList {
@@ -157,6 +159,13 @@
         self.lapse_until = now + LAPSE_GRACE;
     }
 
+    /// Tells whether a target that is not listed is gone. Shortly after the store's return, and after the
+    /// first list of a process that may have started then, live targets may still have to register again.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let first = self.first_list_at.is_some_and(|at| now.since(at) >= LAPSE_GRACE);
+        first && now >= self.lapse_until
+    }
+
     /// Applies one change.
     pub fn apply(&mut self, now: Millis, change: TargetChange) -> Effect {
         match change {
@@ -175,6 +184,7 @@
         records: Vec<TargetRecord>,
         revision: Revision,
     ) -> Vec<(Name, Effect)> {
+        self.first_list_at.get_or_insert(now);
         let listed: std::collections::BTreeSet<Name> =
             records.iter().map(|record| record.name.clone()).collect();
         let missing = |target: &&ListedTarget| {
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -165,6 +165,7 @@
 pub(crate) fn drop_label(cause: DropCause) -> &'static str {
     match cause {
         DropCause::NotReady => "not-ready",
+        DropCause::NoTargetYet => "no-target-yet",
         DropCause::UnknownToken => "unknown-token",
         DropCause::NoToken => "no-token",
         DropCause::ForeignToken => "foreign-token",
