Authenticate datagrams between forwarding VMs with keys that rotate

Whoever reached the peer port could forge members, routes and targets. A problem in the setting does not show its value.

Metrics now show refusals, gaps in what peers said, and how often a VM began to read alone. Routing takes the routes out instead of counting a reference for each packet.

--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -207,7 +207,14 @@
     }
 
     fn route(&mut self, now: Millis, segment: &ClientSegment) -> Verdict {
-        let Some(routes) = self.routes.clone() else { return Verdict::Drop(DropCause::NotReady) };
+        // Taken out for the moment, because counting a reference costs as much as a look-up.
+        let Some(routes) = self.routes.take() else { return Verdict::Drop(DropCause::NotReady) };
+        let verdict = self.route_by(now, segment, &routes);
+        self.routes = Some(routes);
+        verdict
+    }
+
+    fn route_by(&mut self, now: Millis, segment: &ClientSegment, routes: &Routes) -> Verdict {
         let Some(rule) = routes.rule(&segment.flow.service) else {
             return Verdict::Reset(ResetCause::NoRoute);
         };
--- a/crates/jasminecart-core/src/ini.rs
+++ b/crates/jasminecart-core/src/ini.rs
@@ -109,10 +109,7 @@
         expected: &str,
         parse: impl FnOnce(&str) -> Option<T>,
     ) -> Option<T> {
-        self.known.push(key);
-        let entry = self.entries.iter_mut().find(|entry| entry.key == key)?;
-        entry.used = true;
-        let value = entry.value.clone();
+        let value = self.take(key)?;
         let parsed = parse(&value);
         if parsed.is_none() {
             self.report(problems, key, format!("{value:?} is not {expected}"));
@@ -120,6 +117,28 @@
         parsed
     }
 
+    /// Reads a secret. A problem with it, which may be logged, does not show the value.
+    pub fn secret<T>(
+        &mut self,
+        problems: &mut Problems,
+        key: &'static str,
+        expected: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let parsed = parse(&self.take(key)?);
+        if parsed.is_none() {
+            self.report(problems, key, format!("the value is not {expected}"));
+        }
+        parsed
+    }
+
+    fn take(&mut self, key: &'static str) -> Option<String> {
+        self.known.push(key);
+        let entry = self.entries.iter_mut().find(|entry| entry.key == key)?;
+        entry.used = true;
+        Some(entry.value.clone())
+    }
+
     /// Reads a value that must be present, and reports its absence.
     pub fn required<T>(
         &mut self,
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -113,7 +113,7 @@
     fn on_command(&mut self, command: Command) {
         let now = self.shared.clock.now();
         match command {
-            Command::Reload(settings) => self.peers.set_seeds(&settings),
+            Command::Reload(settings) => self.peers.set_settings(&settings),
             Command::Leave => {
                 if self.peers.leave(now) {
                     self.sharing.set_members(self.peers.members());
@@ -129,6 +129,9 @@
             self.sharing.set_members(self.peers.members());
         }
         let steps = self.sharing.tick(now);
+        let counters = self.sharing.counters();
+        self.shared.metrics.peer_gaps.set(i64::try_from(counters.gaps).unwrap_or(i64::MAX));
+        self.shared.metrics.reads_alone.set(i64::try_from(counters.alone).unwrap_or(i64::MAX));
         self.carry_out(now, steps);
         self.after_change(now);
     }
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -9,6 +9,7 @@
 use log::{debug, info};
 
 use crate::edges::SegmentError;
+use crate::keys::SealError;
 use crate::metrics::Metrics;
 
 /// The most lines about packets in a second. Today's busiest VM opens about 100 flows a second.
@@ -172,6 +173,15 @@
     }
 }
 
+pub(crate) fn seal_label(cause: SealError) -> &'static str {
+    match cause {
+        SealError::Short => "short",
+        SealError::Unsigned => "unsigned",
+        SealError::UnknownKey => "unknown-key",
+        SealError::WrongTag => "wrong-tag",
+    }
+}
+
 pub(crate) fn malformed_label(cause: SegmentError) -> &'static str {
     match cause {
         SegmentError::Short => "short",
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -167,7 +167,11 @@
         metrics.forwarded.inc();
         if let Some(answered) = self.router.take_answered() {
             let label = RouteLabel { route: answered.route.to_string() };
-            metrics.latency.get_or_create(&label).observe(answered.latency.as_secs_f64());
+            if answered.refused {
+                metrics.refusals.inc();
+            } else {
+                metrics.latency.get_or_create(&label).observe(answered.latency.as_secs_f64());
+            }
             events::answered(segment, &answered);
         }
         let Some(decision) = self.router.take_decision() else { return };
--- a/crates/jasminecart-forward/src/lib.rs
+++ b/crates/jasminecart-forward/src/lib.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod forwarder;
 mod http;
+pub mod keys;
 mod metrics;
 pub mod peers;
 mod process;
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) flows: Gauge,
     pub(crate) targets: Gauge,
     pub(crate) suspects: Gauge,
+    pub(crate) refusals: Counter,
     pub(crate) directory_calls: Counter,
     pub(crate) directory_failures: Counter,
     pub(crate) directory_age_ms: Gauge,
@@ -49,6 +50,9 @@
     pub(crate) peer_send_failures: Counter,
     pub(crate) peer_received: Counter,
     pub(crate) peer_malformed: Counter,
+    pub(crate) peer_refused: Family<CauseLabel, Counter>,
+    pub(crate) peer_gaps: Gauge,
+    pub(crate) reads_alone: Gauge,
     pub(crate) peer_unknown: Counter,
     pub(crate) reloads: Counter,
     pub(crate) reloads_refused: Counter,
@@ -84,6 +88,7 @@
             flows: register!(flows, "Open flows observed by this VM"),
             targets: register!(targets, "Targets that take new flows"),
             suspects: register!(suspects, "Targets suspected of not answering"),
+            refusals: register!(refusals, "Answers so short that a target probably refused"),
             directory_calls: register!(directory_calls, "Calls to the directory"),
             directory_failures: register!(directory_failures, "Failed calls to the directory"),
             directory_age_ms: register!(
@@ -99,6 +104,15 @@
             ),
             peer_received: register!(peer_received, "Datagrams received from other VMs"),
             peer_malformed: register!(peer_malformed, "Datagrams of peers that can't be read"),
+            peer_refused: register!(
+                peer_refused,
+                "Datagrams on the peer port that no key proves, by cause"
+            ),
+            peer_gaps: register!(peer_gaps, "Changes of peers that did not fit what was known"),
+            reads_alone: register!(
+                reads_alone,
+                "How often this VM began to read the directory because its peers fell silent"
+            ),
             peer_unknown: register!(peer_unknown, "Messages to VMs whose address is not known"),
             reloads: register!(reloads, "Settings read again and put into force"),
             reloads_refused: register!(reloads_refused, "Settings read again and refused"),
--- a/crates/jasminecart-forward/src/peers.rs
+++ b/crates/jasminecart-forward/src/peers.rs
@@ -17,12 +17,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::events;
 use crate::forwarder::report_socket;
-use crate::metrics::Metrics;
+use crate::keys::PeerKeys;
+use crate::metrics::{CauseLabel, Metrics};
 use crate::settings::Settings;
 
 /// The version of the datagrams. A process ignores datagrams of another version.
-const PROTOCOL: u8 = 1;
+const PROTOCOL: u8 = 2;
 /// The largest datagram sent or read. It fits an Ethernet frame.
 const MAX_DATAGRAM: usize = 1_472;
 /// The most datagrams handled before packets of clients get their turn.
@@ -66,6 +68,7 @@
     socket: UdpSocket,
     membership: Membership,
     discovery: Discovery,
+    keys: PeerKeys,
     metrics: Rc<Metrics>,
     buf: Box<[u8]>,
 }
@@ -97,14 +100,16 @@
             socket,
             membership: membership.with_size(settings.size),
             discovery: Discovery::new(hint, seeds(settings)),
+            keys: settings.peer_keys.clone(),
             metrics,
             buf: vec![0; MAX_DATAGRAM].into(),
         }
     }
 
-    /// Takes the seeds of new settings.
-    pub(crate) fn set_seeds(&mut self, settings: &Settings) {
+    /// Takes the seeds and keys of new settings.
+    pub(crate) fn set_settings(&mut self, settings: &Settings) {
         self.discovery.set_seeds(seeds(settings));
+        self.keys = settings.peer_keys.clone();
     }
 
     pub(crate) fn members(&self) -> &Members {
@@ -152,7 +157,15 @@
                     break;
                 }
             };
-            let Some(datagram) = PeerDatagram::decode(&buf[..length]) else {
+            let message = match self.keys.open(&buf[..length]) {
+                Ok(message) => message,
+                Err(error) => {
+                    let label = CauseLabel { cause: events::seal_label(error) };
+                    self.metrics.peer_refused.get_or_create(&label).inc();
+                    continue;
+                }
+            };
+            let Some(datagram) = PeerDatagram::decode(message) else {
                 self.metrics.peer_malformed.inc();
                 continue;
             };
@@ -233,9 +246,12 @@
     fn encode(&self, message: ForwardMessage) -> Option<Vec<u8>> {
         let datagram = PeerDatagram { protocol: PROTOCOL, from: self.me.clone(), message };
         match postcard::to_stdvec(&datagram) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => Some(bytes),
             Ok(bytes) => {
-                let length = bytes.len();
+                let sealed = self.keys.seal(&bytes);
+                if sealed.len() <= MAX_DATAGRAM {
+                    return Some(sealed);
+                }
+                let length = sealed.len();
                 warn!(event = "peer-message-too-long", bytes = length; "a message was not sent");
                 None
             }
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -9,6 +9,8 @@
 use jasminecart_core::units;
 use log::LevelFilter;
 
+use crate::keys::PeerKeys;
+
 const KINDS: [&str; 6] = ["vm", "listen", "directory", "peers", "limits", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
@@ -33,6 +35,8 @@
     pub directory: SocketAddr,
     /// Addresses at which other VMs of the system may be found.
     pub seeds: Vec<SocketAddrV4>,
+    /// The keys by which the VMs recognise each other.
+    pub peer_keys: PeerKeys,
     /// Bounds of the process.
     pub limits: LimitSettings,
     /// The least severe level that is logged.
@@ -111,6 +115,8 @@
     let seeds = peers.optional(problems, "seeds", "addresses with commas between them", |text| {
         text.split(',').map(str::trim).filter(|seed| !seed.is_empty()).map(parse).collect()
     });
+    let keys = "keys such as 1:HEX with 64 digits each and commas between them";
+    let peer_keys = peers.secret(problems, "keys", keys, parse).unwrap_or_default();
     peers.finish(problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
     let mut log = ini::take(sections, "log");
@@ -129,6 +135,7 @@
         listen: listen?,
         directory: address?,
         seeds,
+        peer_keys,
         limits,
         log_level,
     })
--- a/crates/jasminecart-forward/tests/peers.rs
+++ b/crates/jasminecart-forward/tests/peers.rs
@@ -8,7 +8,7 @@
 
 fn datagram() -> PeerDatagram {
     PeerDatagram {
-        protocol: 1,
+        protocol: 2,
         from: VmId::new("east", "vm-1"),
         message: ForwardMessage::Sharing(SharingMessage::Beacon {
             unchanged_since: Revision(3),
@@ -29,7 +29,7 @@
 #[test]
 fn another_version_and_trailing_bytes_are_refused() {
     let mut other = datagram();
-    other.protocol = 2;
+    other.protocol = 1;
     let bytes = postcard::to_stdvec(&other).expect("encoded");
     assert_eq!(PeerDatagram::decode(&bytes), None);
     let mut longer = postcard::to_stdvec(&datagram()).expect("encoded");
--- a/crates/jasminecart-forward/tests/settings.rs
+++ b/crates/jasminecart-forward/tests/settings.rs
@@ -77,6 +77,21 @@
     assert!(told.iter().any(|problem| problem.contains(expected)), "{told:?}");
 }
 
+/// Guards against secrets in logs, to which problems and settings may be written.
+#[test]
+fn keys_are_read_and_never_shown() {
+    let secret = "5c".repeat(32);
+    let with = |keys: &str| TEXT.replace("[limits]", &format!("keys = {keys}\n[limits]"));
+    let settings = Settings::parse(&with(&format!("7:{secret}"))).expect("valid settings");
+    assert_eq!(settings.peer_keys.open(&settings.peer_keys.seal(b"hello")), Ok(&b"hello"[..]));
+    let errors = Settings::parse(&with(&format!("7:{secret},7:{secret}"))).expect_err("invalid");
+    for shown in [format!("{settings:?}"), format!("{errors:?}"), errors.to_string()] {
+        assert!(!shown.contains(&secret), "{shown}");
+    }
+    let told: Vec<String> = errors.problems.iter().map(ToString::to_string).collect();
+    assert!(told.iter().any(|problem| problem.contains("[peers] keys")), "{told:?}");
+}
+
 proptest! {
     #[test]
     fn any_text_has_an_outcome(text in "\\PC{0,400}") {
