--- a/crates/jasminecart-bench/src/steering/mod.rs
+++ b/crates/jasminecart-bench/src/steering/mod.rs
@@ -5,11 +5,13 @@
 //! late too. The share of late requests has to be below every baseline's at every load, and p99 where no baseline
 //! hides its waiting by refusing more.
 
+mod scenario;
 mod sim;
 
 use serde_json::{Value, json};
 
-use self::sim::{Figures, Policy, Scenario, Sim};
+use self::scenario::{Figures, Policy, Scenario};
+use self::sim::Sim;
 use crate::report::Report;
 
 const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
--- a/crates/jasminecart-bench/src/steering/sim.rs
+++ b/crates/jasminecart-bench/src/steering/sim.rs
@@ -19,6 +19,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::scenario::{Figures, Policy, Scenario};
+
 /// Sizes of the VMs. A VM gets flows in proportion to its size.
 const VM_SIZES: [u32; 7] = [4, 4, 2, 2, 2, 1, 1];
 /// The data centres of VMs and targets, in turn.
@@ -51,74 +53,6 @@
 const CLAIM: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8080);
 const SERVICE: &str = "desk";
 
-/// How a flow finds its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Policy {
-    /// The router of jasminecart, one for each VM.
-    Router,
-    /// One router that sees the flows of all VMs, the most that sharing of evidence could reach.
-    SharedRouter,
-    /// A random target.
-    Random,
-    /// The target with the fewest requests in progress of this VM.
-    LeastOutstanding,
-    /// The target with the fewest open flows of this VM, in the own data centre where they are equal.
-    LeastFlows,
-}
-
-impl Policy {
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            Policy::Router => "jasminecart",
-            Policy::SharedRouter => "jasminecart, one VM",
-            Policy::Random => "random",
-            Policy::LeastOutstanding => "least outstanding",
-            Policy::LeastFlows => "least flows",
-        }
-    }
-}
-
-/// One run.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Scenario {
-    pub(super) seed: u64,
-    pub(super) policy: Policy,
-    /// The offered work as a share of the capacity.
-    pub(super) load: f64,
-    /// Whether targets are replaced by cold ones, one after the other.
-    pub(super) replaced: bool,
-    /// Requests that arrive before are not counted.
-    pub(super) from: u64,
-    pub(super) until: u64,
-}
-
-/// The figures of one run.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Figures {
-    /// The times between arrival at a target and the start of work, sorted, in ms.
-    pub(super) waits: Vec<u64>,
-    pub(super) requests: u64,
-    /// Requests answered after their objective.
-    pub(super) late: u64,
-    /// Requests that were refused to the end.
-    pub(super) refused: u64,
-    /// The busiest target's use of its slots over the mean.
-    pub(super) busiest_to_mean: f64,
-    /// Requests at targets of another data centre.
-    pub(super) remote: u64,
-}
-
-impl Figures {
-    pub(super) fn quantile(&self, share: f64) -> u64 {
-        let last = self.waits.len().saturating_sub(1);
-        self.waits.get((share * last as f64) as usize).copied().unwrap_or(0)
-    }
-
-    pub(super) fn late_share(&self) -> f64 {
-        (self.late + self.refused) as f64 / self.requests.max(1) as f64
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     OpenFeed,
