Keep lapsed targets until the store confirms that they stay away

Change: a lapsed target becomes a removed one only once the store has confirmed for 2.5 s that its entry stays away; until then it keeps old and new flows. The test of two outages in a row failed before the change. The test of lapses now says that the store confirmed the list, and asserts what it did.

Ruled out: the reader's hand-over (both VMs had read the store themselves).

--- a/crates/jasminecart-core/src/flow/token/router.rs
+++ b/crates/jasminecart-core/src/flow/token/router.rs
@@ -106,6 +106,11 @@
         self.list.set_store_returned(now);
     }
 
+    /// Notes when the store last confirmed what this VM knows, directly or through a peer.
+    pub fn set_confirmed(&mut self, at: Millis) {
+        self.list.set_confirmed(at);
+    }
+
     /// Takes a whole list of targets that was read at `revision`.
     pub fn set_targets(
         &mut self,
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -83,8 +83,9 @@
     /// any more. [`Millis::MAX`] while its record exists.
     pub fn gone_at(&self) -> Millis {
         match self.presence {
-            Presence::Listed => Millis::MAX,
-            Presence::Lapsed { since } | Presence::Removed { since } => since + GONE_AFTER,
+            // A lapsed target becomes a removed one once the store has confirmed that it stays away.
+            Presence::Listed | Presence::Lapsed { .. } => Millis::MAX,
+            Presence::Removed { since } => since + GONE_AFTER,
         }
     }
 
@@ -149,6 +150,8 @@
     targets: BTreeMap<Name, ListedTarget>,
     /// Until when deletions count as lapses, because the store was away shortly before.
     lapse_until: Millis,
+    /// When the store last confirmed the list.
+    confirmed_at: Millis,
     /// When the first whole list was taken. Entries that lapsed before may be missing in it.
     first_list_at: Option<Millis>,
 }
@@ -159,6 +162,12 @@
         self.lapse_until = now + LAPSE_GRACE;
     }
 
+    /// Notes that the store confirmed the list, directly or through a peer. A target that lapsed is gone only
+    /// once the store was there for long enough without it.
+    pub fn set_confirmed(&mut self, at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(at);
+    }
+
     /// Tells whether a target that is not listed is gone. Shortly after the store's return, and after the
     /// first list of a process that may have started then, live targets may still have to register again.
     pub fn is_settled(&self, now: Millis) -> bool {
@@ -249,7 +258,7 @@
         let mut expired = Expired::default();
         for (name, target) in &mut self.targets {
             if let Presence::Lapsed { since } = target.presence
-                && now.since(since) >= LAPSE_GRACE
+                && self.confirmed_at.since(since) >= LAPSE_GRACE
             {
                 target.presence = Presence::Removed { since };
                 expired.stopped.push(name.clone());
--- a/crates/jasminecart-core/tests/token/routing.rs
+++ b/crates/jasminecart-core/tests/token/routing.rs
@@ -163,6 +163,7 @@
     router.change_target(Millis(1_010), deleted);
     open(&mut router, Millis(1_020), flow(1, FEED), 0);
     let end = Millis(1_010) + LAPSE_GRACE;
+    router.set_confirmed(end);
     router.tick(end);
     let verdict = router.on_segment(end, &opening(flow(2, FEED), 0));
     assert_eq!(verdict, Verdict::Reset(ResetCause::NoTarget));
@@ -170,6 +171,24 @@
     open(&mut router, end, flow(3, FEED), 0);
 }
 
+/// Two outages in a row (soak seed 1010): the store is back for a moment, and away again before the targets whose
+/// entries lapsed could register. Nobody knows that they are gone, so that they keep flows, old and new.
+#[test]
+fn lapsed_targets_stay_while_the_store_is_away_again() {
+    let mut router = router([target("a1", "desk", "east", 1)]);
+    let name = establish(&mut router, Millis(10), flow(1, FEED));
+    router.set_store_returned(Millis(1_000));
+    let deleted =
+        TargetChange::Deleted { name: name.clone(), revision: Revision(200), lapsed: false };
+    router.change_target(Millis(1_010), deleted);
+    router.set_confirmed(Millis(1_010) + LAPSE_GRACE - Millis(1));
+    let later = Millis(60_000);
+    router.tick(later);
+    let verdict = router.on_segment(later, &data(flow(1, FEED), &name, 101, 1, 50));
+    assert!(forwarded_label(verdict).is_some(), "{verdict:?}");
+    open(&mut router, later, flow(2, FEED), 0);
+}
+
 /// Guards against a target that comes back to life by an old record.
 #[test]
 fn an_older_record_never_replaces_a_newer_one() {
--- a/crates/jasminecart-core/tests/token/sharing.rs
+++ b/crates/jasminecart-core/tests/token/sharing.rs
@@ -143,6 +143,7 @@
         if !vm.running {
             return;
         }
+        vm.targets.set_confirmed(now - vm.sharing.age(now));
         vm.targets.expire(now);
         let mut steps = vm.sharing.tick(now);
         let position = vm.sharing.position();
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -150,7 +150,7 @@
     /// Brings readiness and the feed in line with what the process knows.
     fn after_change(&mut self, now: Millis) {
         let age = self.sharing.age(now);
-        self.shared.readiness.set_confirmed(now - age);
+        self.forwarder.set_confirmed(now - age);
         if !self.joined && self.forwarder.router().is_ready() {
             self.joined = true;
             if self.peers.set_ready(now) {
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -249,6 +249,12 @@
         self.router.set_store_returned(now);
     }
 
+    /// Notes when the directory last confirmed what this VM knows, directly or through a peer.
+    pub(crate) fn set_confirmed(&mut self, at: Millis) {
+        self.shared.readiness.set_confirmed(at);
+        self.router.set_confirmed(at);
+    }
+
     fn apply(
         &mut self,
         now: Millis,
