Split tables of members by size, so that each part fits a datagram

Cause: a table was sent in parts of 32 updates. With the names of the large site a part exceeds 1,472 bytes and was not sent (peer-message-too-long, 131 times after the restart of one data centre), so that members were learned of by gossip alone.

Change: parts of at most 1,100 bytes of updates, whatever the names.

Result: every_message_of_a_large_data_centre_fits_a_datagram failed before and passes.

--- a/crates/jasminecart-core/src/process/anti_entropy.rs
+++ b/crates/jasminecart-core/src/process/anti_entropy.rs
@@ -8,9 +8,7 @@
 use super::membership::Membership;
 use super::rendezvous;
 use super::table::Record;
-use super::wire::{
-    DeclaredState, MAX_DATA_CENTRES, MemberMessage, TABLE_UPDATES, TableHash, Update,
-};
+use super::wire::{DeclaredState, MAX_DATA_CENTRES, MemberMessage, TableHash, Update, split_table};
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 
@@ -190,8 +188,7 @@
         let local = (data_centre == sender).then(|| self.local_member.state_update());
         let updates: Vec<Update> = others.chain(local).collect();
         let (head, hold) = (self.local_member.head(), self.hold_down_for(now, to));
-        for part in updates.chunks(TABLE_UPDATES) {
-            let updates = part.to_vec();
+        for updates in split_table(updates) {
             self.send(to, MemberMessage::Table { head, updates, hold });
         }
     }
--- a/crates/jasminecart-core/src/process/wire.rs
+++ b/crates/jasminecart-core/src/process/wire.rs
@@ -13,8 +13,27 @@
 pub(super) const MAX_UPDATES: usize = 256;
 /// Upper bound on the data centres in one message.
 pub(super) const MAX_DATA_CENTRES: usize = 64;
-/// The number of updates per message when a table is sent, which keeps a message below about 2 KB.
-pub(super) const TABLE_UPDATES: usize = 32;
+/// The largest size in bytes of the updates in one message when a table is sent, so that the
+/// message with its envelope fits a datagram of the usual MTU, however long the names are.
+const TABLE_BYTES: usize = 1_100;
+
+/// Splits the updates of a table into parts of at most [`TABLE_BYTES`].
+pub(super) fn split_table(updates: Vec<Update>) -> Vec<Vec<Update>> {
+    let mut parts: Vec<Vec<Update>> = Vec::new();
+    let mut bytes = 0;
+    for update in updates {
+        let size = update.max_encoded_bytes();
+        match parts.last_mut() {
+            Some(part) if bytes + size <= TABLE_BYTES => part.push(update),
+            Some(_) | None => {
+                parts.push(vec![update]);
+                bytes = 0;
+            }
+        }
+        bytes += size;
+    }
+    parts
+}
 
 /// The state that a VM declares for itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/jasminecart-core/tests/membership.rs
+++ b/crates/jasminecart-core/tests/membership.rs
@@ -3,12 +3,13 @@
 mod membership_net;
 
 use jasminecart_core::invariant;
+use jasminecart_core::message::Outgoing;
 use jasminecart_core::process::{
     Claim, DeclaredState, Event, Head, MemberLimits, MemberMessage, MemberState, Membership,
     Update, VmHint,
 };
 use jasminecart_core::version::Revision;
-use jasminecart_core::{Incarnation, Millis, PeerMessage};
+use jasminecart_core::{Incarnation, Millis, PeerMessage, VmId};
 use test_case::test_case;
 
 use self::membership_net::{Net, START, address, hint, new_membership, vm};
@@ -392,3 +393,41 @@
     assert!(limits.suspicion_timeout(105) <= Millis(3_400));
     assert_eq!(invariant::violations(), 0);
 }
+
+// Guards against tables that exceed a datagram when names are long, so that members are never
+// learned of. It was logged 131 times after the restart of a data centre of 59 VMs.
+#[test]
+fn every_message_of_a_large_data_centre_fits_a_datagram() {
+    const DATAGRAM_BYTES: usize = 1_300; // An Ethernet frame less the envelope and the signature.
+    let long = |number: usize| VmId::new("d".repeat(63), format!("{number:0>63}"));
+    let limits = MemberLimits::default;
+    let new =
+        |n: usize| Membership::new(long(n), Incarnation(u64::MAX >> 1), address(n), 7, limits());
+    let sync_from = |number: usize| {
+        let events = new(number).with_seeds([VmHint { vm: long(0), ..hint(0) }]).tick(START);
+        let messages = events.into_iter().filter_map(|event| match event {
+            Event::Message(outgoing) => Some(outgoing.message),
+            _ => None,
+        });
+        let mut syncs = messages.filter_map(|message| match message {
+            PeerMessage::Member(message @ MemberMessage::Sync { .. }) => Some(message),
+            _ => None,
+        });
+        syncs.next().expect("a sync")
+    };
+    let mut membership = new(0);
+    membership.set_ready(START);
+    let mut tables = 0;
+    for number in 1..70 {
+        for event in membership.on_message(START, &long(number), sync_from(number)) {
+            let Event::Message(Outgoing { message: PeerMessage::Member(message), .. }) = event
+            else {
+                continue;
+            };
+            tables += usize::from(matches!(message, MemberMessage::Table { .. }));
+            let bytes = postcard::to_stdvec(&message).expect("encoded").len();
+            assert!(bytes <= DATAGRAM_BYTES, "{bytes} bytes with {number} members");
+        }
+    }
+    assert!(tables > 69, "{tables} parts of tables");
+}
