Send routes and targets to starting VMs over streams between peers

Cause: on the large site every VM that starts reads the whole store. After a kill of all processes 350 VMs share its link of 1,000 Mbit/s and links of 20 Mbit/s; a call that takes longer than 1 s starts over. Each outage of the store added a call of every VM every 2 s.

Change: a VM with a link below 100 Mbit/s waits for a peer for 0.4 to 0.7 s before it reads the store. Hellos tell seeds who has routes and targets and how large it is, and responses name the largest of these first. What is too large for datagrams is offered and fetched over TCP at the peer address; a VM serves a few streams at a time and names the VMs that it has served to the others. The receiver adds the time of the transfer to the age of the state. A VM that has just joined is no reader. When a quarter of the members (8 at least) report that they cannot reach the store, only three probe it, and readers that take turns. The first targets are logged as one line. The peer protocol is version 3; VMs of different versions read the store on their own.

--- a/crates/jasminecart-core/src/process/contacts.rs
+++ b/crates/jasminecart-core/src/process/contacts.rs
@@ -38,6 +38,15 @@
         self.listed_at = Some(now);
     }
 
+    /// Adds a VM that introduced itself or that another VM named. The hints of such VMs make room
+    /// for later ones when there are too many; VMs that are alive introduce themselves again.
+    pub(super) fn add_hint(&mut self, hint: &VmHint) {
+        if self.hints.len() >= MAX_HINTS && !self.hints.contains_key(&hint.vm) {
+            self.hints.clear();
+        }
+        self.hints.insert(hint.vm.clone(), hint.address);
+    }
+
     /// Returns whether a list received after `then` omits `vm` or marks it as leaving. The list has
     /// to contain `me`, since one without this VM is wrong.
     pub(super) fn was_unlisted_since(&self, vm: &VmId, me: &VmId, then: Millis) -> bool {
--- a/crates/jasminecart-core/src/process/membership.rs
+++ b/crates/jasminecart-core/src/process/membership.rs
@@ -180,6 +180,21 @@
         self.finish(now)
     }
 
+    /// Adds VMs to contact that introduced themselves or that another VM named.
+    pub fn on_introductions<'a>(
+        &mut self,
+        now: Millis,
+        hints: impl IntoIterator<Item = &'a VmHint>,
+    ) -> Vec<Event> {
+        self.detect_pause(now);
+        for hint in hints {
+            if hint.vm != self.local_member.vm {
+                self.contacts.add_hint(hint);
+            }
+        }
+        self.finish(now)
+    }
+
     /// Runs the probes, timeouts and comparisons that are due.
     pub fn tick(&mut self, now: Millis) -> Vec<Event> {
         self.detect_pause(now);
--- a/crates/jasminecart-core/src/process/mod.rs
+++ b/crates/jasminecart-core/src/process/mod.rs
@@ -16,7 +16,7 @@
 mod table;
 mod wire;
 
-pub use self::discovery::{Discovery, DiscoveryMessage};
+pub use self::discovery::{Discovery, DiscoveryMessage, Introduction};
 pub use self::limits::{MemberCounters, MemberLimits};
 pub use self::members::{Member, MemberState, Members, PeerAddress, VmHint};
 pub use self::membership::{Event, Membership};
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -21,7 +21,7 @@
 pub use self::routes::{Repeatable, RouteRule, Routes};
 pub use self::sharing::{
     SharedChanges, SharedItem, Sharing, SharingCounters, SharingLimits, SharingMessage,
-    SharingStep, Source, View,
+    SharingStep, Source, TransferFailure, View,
 };
 pub use self::targets::{
     Effect, ExpiredTargets, REMOVAL_GRACE, REREGISTRATION_GRACE, Registration, TOMBSTONE_RETENTION,
--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -28,10 +28,29 @@
     pub fallback_after: Millis,
     /// How long a member that cannot reach the store is excluded from the ranking of readers.
     pub exclusion: Millis,
+    /// How many members have to report that they cannot reach the store before the others leave
+    /// calling it to them. If the store rejects a third of the VMs, it rejects all of these in
+    /// 0.02 % of the cases.
+    pub min_outage_reports: usize,
+    /// The share of the members that have to report it in a large data centre.
+    pub outage_report_share: f64,
+    /// How long ago the last such report may have been received. Members that probe the store
+    /// repeat theirs every [`SharingLimits::beacon_interval`].
+    pub max_report_age: Millis,
     /// The oldest store confirmation at which a member may catch up with a delta. Tombstones are
     /// retained a little longer, for [`crate::version::TOMBSTONE_RETENTION`]; a member that was
     /// partitioned for longer needs the full state.
     pub max_delta_age: Millis,
+    /// How long a VM that starts waits for a peer with routes and targets before it reads the
+    /// store. When all VMs of a large deployment start together, the store's link would be shared
+    /// by all of them; VMs with fast links read it first and send what they read to the others.
+    pub store_delay: Millis,
+    /// How long a VM that received its first state from a peer does not become a reader. It learns
+    /// of the other members meanwhile.
+    pub join_time: Millis,
+    /// How long a VM waits for a peer to send changes that are too large for datagrams before it
+    /// reads the store. New routes must be active within 3 s.
+    pub transfer_patience: Millis,
     /// The largest size of one update in bytes, summed over all its receivers. A larger one would
     /// delay client packets on the same link for longer than their latency objectives allow.
     pub max_update_bytes: usize,
@@ -46,7 +65,13 @@
             standby_after: Millis(1_900),
             fallback_after: Millis(2_300),
             exclusion: Millis(4_000),
+            min_outage_reports: 8,
+            outage_report_share: 0.25,
+            max_report_age: Millis(2_500),
             max_delta_age: Millis::from_secs(60),
+            store_delay: Millis::ZERO,
+            join_time: Millis(2_000),
+            transfer_patience: Millis(1_000),
             max_update_bytes: SharingLimits::max_update_bytes(1_000),
         }
     }
@@ -56,10 +81,25 @@
     /// The time for which one update may occupy the link. The strictest latency objective is 150
     /// ms.
     const LINK_TIME: Millis = Millis(40);
+    /// The speed of a link in Mbit/s over which the whole store, about 1 MB, is read in less than
+    /// 100 ms.
+    const FAST_LINK_MEGABITS: u32 = 100;
+    /// The least time for which a VM with a slower link waits for a peer. VMs start within 0.3 s of
+    /// each other, and one with a fast link has the state about 100 ms after its start.
+    const MIN_STORE_DELAY: Millis = Millis(400);
+    /// The range of the random part of that time.
+    const STORE_DELAY_SPREAD: Millis = Millis(300);
 
-    /// Sets the largest size of an update for a link of `megabits` Mbit/s.
-    pub fn with_link(mut self, megabits: u32) -> SharingLimits {
+    /// Sets the limits that depend on the VM's link of `megabits` Mbit/s. `jitter` is a random
+    /// number from 0 to 1, which spreads the reads of VMs that start together.
+    pub fn with_link(mut self, megabits: u32, jitter: f64) -> SharingLimits {
         self.max_update_bytes = SharingLimits::max_update_bytes(megabits);
+        self.store_delay = if megabits >= SharingLimits::FAST_LINK_MEGABITS {
+            Millis::ZERO
+        } else {
+            let spread = SharingLimits::STORE_DELAY_SPREAD.get() as f64 * jitter.clamp(0.0, 1.0);
+            SharingLimits::MIN_STORE_DELAY + Millis(spread as u64)
+        };
         self
     }
 
@@ -127,9 +167,18 @@
         /// The items of this part.
         items: Vec<SharedItem>,
     },
-    /// The update is too large for the sender's link; the receiver has to read the store itself.
-    ReadStore {
-        /// The revision up to which it has to read.
+    /// The sender has changes that are too large for datagrams. The receiver fetches them over a
+    /// stream, from the sender or from another peer that has fetched them.
+    Offer {
+        /// The revision up to which the sender's view is complete.
+        upto: Revision,
+    },
+    /// The response over a stream of a VM that serves too many others, or has nothing newer: other
+    /// VMs that may have it.
+    Sources {
+        /// The VMs.
+        vms: Vec<VmId>,
+        /// The revision up to which their views are complete.
         upto: Revision,
     },
 }
@@ -146,6 +195,23 @@
     },
     /// Apply the changes received from a peer.
     Apply(SharedChanges),
+    /// Request the changes after a revision from a peer over a stream. The caller reports the
+    /// result to [`super::Sharing::on_transfer`] or [`super::Sharing::on_transfer_failure`].
+    Fetch {
+        /// The peer.
+        from: VmId,
+        /// The revision up to which this VM's view is complete; 0 requests the full state.
+        after: Revision,
+    },
+}
+
+/// Why a peer did not send changes over a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TransferFailure {
+    /// The peer serves other VMs, or has no newer state.
+    Busy,
+    /// The stream failed, or no response was received in time.
+    Failed,
 }
 
 /// A completely received update.
@@ -166,6 +232,8 @@
 /// Where a VM obtains changes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
+    /// None yet: the VM has started and waits for a peer that has routes and targets.
+    Starting,
     /// The store, because the VM is one of the readers.
     Reader,
     /// The store, because no peer provides a current view.
@@ -186,4 +254,8 @@
     pub gaps: u64,
     /// How often this VM switched from its peers to reading the store itself.
     pub alone: u64,
+    /// Transfers over a stream that this VM requested.
+    pub fetches: u64,
+    /// Those of them that a peer refused or that failed.
+    pub failed_fetches: u64,
 }
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -11,6 +11,7 @@
 mod delta;
 mod message;
 mod parts;
+mod transfers;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,13 +19,19 @@
 use self::delta::RouteHistory;
 pub use self::message::{
     SharedChanges, SharedItem, SharingCounters, SharingLimits, SharingMessage, SharingStep, Source,
+    TransferFailure,
 };
 use self::parts::Assembly;
+use self::transfers::{FIRST_REVISION, Transfers};
 use super::{Revision, Routes, TargetList};
 use crate::names::VmId;
-use crate::process::{Member, Members, rendezvous};
+use crate::process::{Introduction, Member, Members, rendezvous};
 use crate::time::Millis;
 
+/// How long a VM reads the store for its first routes and targets before it also accepts them from a
+/// peer. A store in order responds within a tenth of this.
+const FIRST_READ_PATIENCE: Millis = Millis(300);
+
 /// This VM's view of targets and routes, borrowed from the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -45,12 +52,30 @@
     /// The members that are excluded from reading because they cannot reach the store, and until
     /// when.
     excluded_until: BTreeMap<VmId, Millis>,
+    /// When a member last reported that it cannot reach the store.
+    outage_reported_at: Option<Millis>,
+    /// Whether the store is out for the whole data centre, so that only a few members call it.
+    outage: bool,
     is_reader: bool,
     is_standby: bool,
     /// The revision up to which this VM's view is complete.
     position: Revision,
-    /// The revision up to which a peer requested this VM to read the store itself.
-    read_upto: Revision,
+    /// When this VM first asked for its source.
+    started_at: Option<Millis>,
+    /// Whether this VM reads the store because no peer sent the first routes and targets in time.
+    reads_first_state: bool,
+    /// Whether a call to the store failed before this VM had routes and targets.
+    store_failed: bool,
+    /// The revision up to which a peer offered changes that are too large for datagrams.
+    offered_upto: Revision,
+    /// Until when this VM waits for a peer to send them.
+    offer_expires_at: Millis,
+    /// When this VM received its first state from a peer.
+    joined_at: Option<Millis>,
+    /// Whether this VM needs the full state, because its peers may have purged tombstones that it
+    /// has not received.
+    needs_full_state: bool,
+    transfers: Transfers,
     /// The position at which this VM's view last changed.
     changed_at: Revision,
     /// When the store last confirmed this VM's view, directly or through a peer.
@@ -73,10 +98,19 @@
             peers: Vec::new(),
             ranked: Vec::new(),
             excluded_until: BTreeMap::new(),
+            outage_reported_at: None,
+            outage: false,
             is_reader: true,
             is_standby: false,
             position: Revision(0),
-            read_upto: Revision(0),
+            started_at: None,
+            reads_first_state: false,
+            store_failed: false,
+            offered_upto: Revision(0),
+            offer_expires_at: Millis::ZERO,
+            joined_at: None,
+            needs_full_state: false,
+            transfers: Transfers::default(),
             changed_at: Revision(0),
             confirmed_at: None,
             peer_has_confirmed: false,
@@ -105,22 +139,22 @@
         self.peers = members.peers().map(|member| &member.vm).filter(is_local).cloned().collect();
         let peers = &self.peers;
         self.assemblies.retain(|vm, _| peers.contains(vm));
+        self.transfers.set_members(members.peers().filter(|member| is_local(&&member.vm)));
     }
 
     /// Returns where this VM has to obtain changes from, and counts a switch to reading the store
     /// itself.
     pub fn source(&mut self, now: Millis) -> Source {
         self.update_rank(now);
+        self.update_outage(now);
         let fallback_after =
             if self.is_standby { self.limits.standby_after } else { self.limits.fallback_after };
-        let stale = self.age(now) >= fallback_after;
+        let stale = self.age(now) >= fallback_after && (!self.outage || self.probes_store());
         let source = if self.is_reader {
             Source::Reader
-        } else if self.position < self.read_upto
-            || self.position == Revision(0)
-            || !self.peer_has_confirmed
-            || stale
-        {
+        } else if self.position == Revision(0) {
+            self.first_source(now)
+        } else if self.misses_offer(now) || !self.peer_has_confirmed || stale {
             Source::Fallback
         } else {
             Source::Peers
@@ -132,13 +166,71 @@
         source
     }
 
+    /// Returns where this VM obtains its first routes and targets from. Once it reads the store it
+    /// goes on, because a read that was abandoned would have to start over.
+    fn first_source(&mut self, now: Millis) -> Source {
+        let started_at = *self.started_at.get_or_insert(now);
+        let waits = now.since(started_at) < self.limits.store_delay || self.transfers.is_active();
+        self.reads_first_state |= !waits;
+        if self.reads_first_state { Source::Fallback } else { Source::Starting }
+    }
+
+    /// Returns whether no peer sent in time what one of them offered.
+    fn misses_offer(&self, now: Millis) -> bool {
+        self.position < self.offered_upto && now >= self.offer_expires_at
+    }
+
+    /// Starts a transfer if this VM needs one and a peer can send it.
+    fn fetch(&mut self, now: Millis) -> Option<SharingStep> {
+        let needed = if self.position == Revision(0) {
+            let started_at = self.started_at.unwrap_or(now);
+            let slow = now.since(started_at) >= FIRST_READ_PATIENCE;
+            !self.reads_first_state || self.store_failed || slow
+        } else {
+            self.needs_full_state || self.position < self.offered_upto
+        };
+        if !needed {
+            return None;
+        }
+        let upto =
+            if self.position < self.offered_upto { self.offered_upto } else { FIRST_REVISION };
+        let from = self.transfers.start(now, &self.me, upto)?;
+        self.counters.fetches += 1;
+        let after = if self.needs_full_state { Revision(0) } else { self.position };
+        Some(SharingStep::Fetch { from, after })
+    }
+
     /// Updates whether this VM is one of the readers, or the next to become one.
     fn update_rank(&mut self, now: Millis) {
         self.excluded_until.retain(|_, until| now < *until);
         let mut available = self.ranked.iter().filter(|vm| !self.excluded_until.contains_key(vm));
         let index = available.position(|vm| *vm == self.me);
-        self.is_reader = index.is_some_and(|index| index < self.limits.readers);
-        self.is_standby = index == Some(self.limits.readers);
+        let in_rank = index.is_some_and(|index| index < self.limits.readers);
+        let outage = self.has_outage_reports();
+        self.is_reader = in_rank && !outage && !self.is_joining(now);
+        self.is_standby = index == Some(self.limits.readers) && !outage;
+    }
+
+    /// Returns whether so many members cannot reach the store that an outage is likely.
+    fn has_outage_reports(&self) -> bool {
+        let share = self.limits.outage_report_share * self.ranked.len() as f64;
+        let reports = self.excluded_until.keys().filter(|vm| self.ranked.contains(vm)).count();
+        reports >= self.limits.min_outage_reports.max(share as usize)
+    }
+
+    /// Updates whether the store is out for the whole data centre, as far as this VM knows. The
+    /// outage lasts until the store confirms this VM's view, or the reports cease: a VM that hears
+    /// nothing of the other members may be the only one that reaches the store.
+    fn update_outage(&mut self, now: Millis) {
+        let max_age = self.limits.max_report_age;
+        let reported = self.outage_reported_at.is_some_and(|at| now.since(at) < max_age);
+        self.outage = reported && (self.outage || self.has_outage_reports());
+    }
+
+    /// Returns whether this VM received its first state from a peer so recently that it may not know
+    /// all members yet. It would rank first among those that it knows.
+    fn is_joining(&self, now: Millis) -> bool {
+        self.joined_at.is_some_and(|at| now.since(at) < self.limits.join_time)
     }
 
     /// Returns whether this VM has to detect the recovery of a failed store for its data centre.
@@ -180,6 +272,8 @@
             self.history.add(routes.clone());
         }
         self.confirmed_at = Some(now);
+        self.needs_full_state = false;
+        self.outage = false;
         self.excluded_until.remove(&self.me);
         if changed {
             self.changed_at = self.position;
@@ -196,14 +290,17 @@
         self.send_update(now, self.peers.clone(), before, view)
     }
 
-    /// Records that a call to the store failed. A reader announces this to its peers, so that
-    /// another member takes its place.
+    /// Records that a call to the store failed, and reports it to the peers: another member takes
+    /// the place of a reader, and after enough reports the others stop to call the store.
     pub fn on_store_failure(&mut self, now: Millis) -> Vec<SharingStep> {
-        if !self.is_reader {
-            return Vec::new();
-        }
+        self.store_failed |= self.position == Revision(0);
+        let reports = self.is_reader || self.probes_store() || !self.has_outage_reports();
         self.excluded_until.insert(self.me.clone(), now + self.limits.exclusion);
-        self.announce(now)
+        let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
+        if reports && self.position > Revision(0) {
+            steps.extend(self.announce(now));
+        }
+        steps
     }
 
     /// Handles a message from a peer.
@@ -224,6 +321,7 @@
                     self.excluded_until.remove(from);
                 } else {
                     self.excluded_until.insert(from.clone(), now + self.limits.exclusion);
+                    self.outage_reported_at = Some(now);
                 }
                 self.on_beacon(now, from, unchanged_since, revision, age)
             }
@@ -234,19 +332,116 @@
                 };
                 self.on_share(now, from, after, upto, age, items, view)
             }
-            SharingMessage::ReadStore { upto } => {
-                self.read_upto = self.read_upto.max(upto);
-                Vec::new()
+            SharingMessage::Offer { upto } => self.on_offer(now, from, upto),
+            // Sources are named over streams only.
+            SharingMessage::Sources { .. } => Vec::new(),
+        }
+    }
+
+    /// Handles introductions of peers, which state whether a peer has routes and targets to send.
+    pub fn on_introductions<'a>(
+        &mut self,
+        now: Millis,
+        introductions: impl IntoIterator<Item = &'a Introduction>,
+    ) -> Vec<SharingStep> {
+        for introduction in introductions {
+            let vm = &introduction.hint.vm;
+            if introduction.loaded && vm.data_centre == self.me.data_centre {
+                self.transfers.add_source(vm, Some(introduction.size), FIRST_REVISION);
             }
         }
+        self.fetch(now).into_iter().collect()
     }
 
-    /// Sends the periodic beacon if this VM is a reader and the beacon is due.
-    pub fn tick(&mut self, now: Millis) -> Vec<SharingStep> {
-        if !self.is_reader || now < self.beacon_at || self.position == Revision(0) {
+    /// Returns the response to a peer that requests the changes after a revision over a stream:
+    /// one message with all of them, or other sources if this VM has nothing newer.
+    pub fn on_fetch(
+        &mut self,
+        now: Millis,
+        from: &VmId,
+        after: Revision,
+        view: View<'_>,
+    ) -> SharingMessage {
+        let items = self.changes(now, after, view).filter(|_| self.position > after);
+        let Some(items) = items else { return self.refuse_fetch() };
+        let (upto, age) = (self.position, self.age(now));
+        self.transfers.add_served(from, upto);
+        SharingMessage::Share { after, upto, age, part: 0, parts: 1, items }
+    }
+
+    /// Returns the response to a peer that this VM doesn't serve, because it serves others: VMs
+    /// that it has served.
+    pub fn refuse_fetch(&mut self) -> SharingMessage {
+        let (vms, upto) = self.transfers.served();
+        SharingMessage::Sources { vms, upto }
+    }
+
+    /// Handles changes that a peer sent over a stream.
+    pub fn on_transfer(
+        &mut self,
+        now: Millis,
+        from: &VmId,
+        message: SharingMessage,
+        view: View<'_>,
+    ) -> Vec<SharingStep> {
+        let (after, upto, age, items) = match message {
+            SharingMessage::Share { after, upto, age, items, .. } => (after, upto, age, items),
+            SharingMessage::Sources { vms, upto } => {
+                for vm in vms.iter().filter(|vm| vm.data_centre == self.me.data_centre) {
+                    self.transfers.add_source(vm, None, upto);
+                }
+                return self.on_transfer_failure(now, from, TransferFailure::Busy);
+            }
+            SharingMessage::Beacon { .. }
+            | SharingMessage::Ask { .. }
+            | SharingMessage::Offer { .. } => {
+                return self.on_transfer_failure(now, from, TransferFailure::Failed);
+            }
+        };
+        let Some(started_at) = self.transfers.complete(from) else { return Vec::new() };
+        // The sender determined the age after this VM had sent the request.
+        let age = age + now.since(started_at);
+        let mut steps = self.on_share(now, from, after, upto, age, items, view);
+        steps.extend(self.fetch(now));
+        steps
+    }
+
+    /// Records that a peer did not send what [`SharingStep::Fetch`] requested.
+    pub fn on_transfer_failure(
+        &mut self,
+        now: Millis,
+        from: &VmId,
+        failure: TransferFailure,
+    ) -> Vec<SharingStep> {
+        self.transfers.fail(now, from, failure);
+        self.counters.failed_fetches += 1;
+        self.fetch(now).into_iter().collect()
+    }
+
+    fn on_offer(&mut self, now: Millis, from: &VmId, upto: Revision) -> Vec<SharingStep> {
+        if upto <= self.position {
             return Vec::new();
         }
-        self.announce(now)
+        if upto > self.offered_upto {
+            if self.offered_upto <= self.position {
+                self.offer_expires_at = now + self.limits.transfer_patience;
+            }
+            self.offered_upto = upto;
+        }
+        self.transfers.add_source(from, None, upto);
+        self.fetch(now).into_iter().collect()
+    }
+
+    /// Sends the periodic beacon if this VM is a reader and the beacon is due, and starts a transfer
+    /// if one is needed.
+    pub fn tick(&mut self, now: Millis) -> Vec<SharingStep> {
+        let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
+        let reports = self.excluded_until.contains_key(&self.me) && self.probes_store();
+        let beacons = (self.is_reader || reports) && self.position > Revision(0);
+        if beacons && now >= self.beacon_at {
+            steps.extend(self.announce(now));
+        }
+        steps
     }
 
     /// Sends a beacon with the revision and age of this VM's view to all peers.
@@ -269,12 +464,13 @@
         revision: Revision,
         age: Millis,
     ) -> Vec<SharingStep> {
-        if unchanged_since > self.position
-            || self.position == Revision(0)
-            || self.has_missed_deletions(now)
-        {
-            let after = if self.has_missed_deletions(now) { Revision(0) } else { self.position };
-            let ask = SharingMessage::Ask { after };
+        self.needs_full_state |= self.has_missed_deletions(now);
+        if self.position == Revision(0) || self.needs_full_state {
+            self.transfers.add_source(from, None, revision);
+            return self.fetch(now).into_iter().collect();
+        }
+        if unchanged_since > self.position {
+            let ask = SharingMessage::Ask { after: self.position };
             return vec![self.send(vec![from.clone()], ask)];
         }
         if revision >= self.changed_at {
@@ -293,6 +489,7 @@
     /// Records that a peer confirmed this VM's view.
     fn confirm(&mut self, now: Millis, age: Millis) {
         self.peer_has_confirmed = true;
+        self.outage &= age >= self.limits.standby_after;
         self.confirmed_at = self.confirmed_at.max(Some(now - age));
     }
 
@@ -312,7 +509,7 @@
         }
         let routes = delta::apply(items.iter(), view.routes);
         let complete = after == Revision(0);
-        let missed_deletions = self.has_missed_deletions(now);
+        let missed_deletions = self.needs_full_state || self.has_missed_deletions(now);
         if missed_deletions && !complete {
             return self.on_gap(from, self.position);
         }
@@ -321,6 +518,7 @@
             Ok(_) | Err(delta::BaseUnknown) => return self.on_gap(from, after),
         };
         self.confirm(now, age);
+        self.needs_full_state &= !complete;
         if !missed_deletions && (upto == self.position || items.is_empty()) {
             self.position = upto;
             return Vec::new();
@@ -329,6 +527,9 @@
             |routes: &Arc<Routes>| view.routes.is_none_or(|known| routes.revision > known.revision);
         let routes = routes.filter(is_newer);
         self.counters.applied += 1;
+        if self.position == Revision(0) {
+            self.joined_at = Some(now);
+        }
         self.changed_at = upto;
         let targets = items.into_iter().filter_map(|item| match item {
             SharedItem::Target(change) => Some(change),
@@ -356,8 +557,22 @@
         vec![self.send(vec![from.clone()], SharingMessage::Ask { after })]
     }
 
-    /// Sends the changes after a revision to some peers. Sends nothing before the first response of
-    /// the store, when this VM has no view.
+    /// Returns the items that changed after a revision; `None` before this VM has a view, or if
+    /// the revision is later than it.
+    fn changes(&self, now: Millis, after: Revision, view: View<'_>) -> Option<Vec<SharedItem>> {
+        if self.position == Revision(0) || after > self.position || self.age(now) == Millis::MAX {
+            return None;
+        }
+        let targets = view.targets.changes_after(now, after).map(SharedItem::Target);
+        let mut items: Vec<SharedItem> = targets.collect();
+        if let Some(routes) = view.routes.filter(|routes| routes.revision > after) {
+            items.extend(self.history.delta(routes, after));
+        }
+        Some(items)
+    }
+
+    /// Sends the changes after a revision to some peers, or offers them if they are too large for
+    /// datagrams.
     fn send_update(
         &mut self,
         now: Millis,
@@ -365,22 +580,14 @@
         after: Revision,
         view: View<'_>,
     ) -> Vec<SharingStep> {
-        let age = self.age(now);
-        if self.position == Revision(0) || after > self.position || age == Millis::MAX {
-            return Vec::new();
-        }
-        let mut items: Vec<SharedItem> =
-            view.targets.changes_after(now, after).map(SharedItem::Target).collect();
-        if let Some(routes) = view.routes.filter(|routes| routes.revision > after) {
-            items.extend(self.history.delta(routes, after));
-        }
+        let Some(items) = self.changes(now, after, view) else { return Vec::new() };
+        let (upto, age) = (self.position, self.age(now));
         let parts = parts::split(items);
         let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
-        let upto = self.position;
         if parts.len() * parts::PART_BYTES * to.len() > self.limits.max_update_bytes
             && parts.len() > 1
         {
-            return vec![self.send(to, SharingMessage::ReadStore { upto })];
+            return vec![self.send(to, SharingMessage::Offer { upto })];
         }
         let message =
             |(part, items)| SharingMessage::Share { after, upto, age, part, parts: count, items };
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -1,11 +1,16 @@
 //! The main loop, which owns the state machines of the process.
 
+use std::collections::VecDeque;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+use jasminecart_core::names::VmId;
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Sharing, SharingStep, Source, View};
-use log::info;
+use jasminecart_core::version::{
+    Revision, Sharing, SharingMessage, SharingStep, Source, TransferFailure, View,
+};
+use log::{debug, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
@@ -15,6 +20,7 @@
 use crate::peers::{ForwardMessage, Peers, Received};
 use crate::process::Shared;
 use crate::settings::Settings;
+use crate::streams::{self, StreamEvent};
 
 /// The period of timers. Membership requires a call at least every 200 ms.
 const TICK: Duration = Duration::from_millis(100);
@@ -35,6 +41,7 @@
     pub(crate) sharing: Sharing,
     pub(crate) shared: Rc<Shared>,
     pub(crate) feed_mode: watch::Sender<FeedMode>,
+    pub(crate) stream_events: mpsc::Sender<StreamEvent>,
     pub(crate) source: Source,
     pub(crate) joined: bool,
 }
@@ -45,6 +52,7 @@
         mut self,
         mut updates: mpsc::Receiver<Update>,
         mut commands: mpsc::Receiver<Command>,
+        mut stream_events: mpsc::Receiver<StreamEvent>,
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -56,6 +64,7 @@
                     None => return,
                 },
                 Some(command) = commands.recv() => self.on_command(command),
+                Some(event) = stream_events.recv() => self.on_stream_event(event),
                 _ = ticks.tick() => self.on_tick(),
                 ready = self.peers.readable() => match ready {
                     Ok(()) => self.on_peers(),
@@ -103,8 +112,15 @@
         if changed {
             self.sharing.set_members(self.peers.members());
         }
-        for Received { from, message } in received {
-            let steps = self.sharing.on_message(now, &from, message, view(&self.forwarder));
+        for received in received {
+            let steps = match received {
+                Received::Sharing { from, message } => {
+                    self.sharing.on_message(now, &from, message, view(&self.forwarder))
+                }
+                Received::Introductions(introductions) => {
+                    self.sharing.on_introductions(now, &introductions)
+                }
+            };
             self.execute(now, steps);
         }
         self.update_readiness_and_feed(now);
@@ -132,17 +148,90 @@
         let counters = self.sharing.counters();
         self.shared.metrics.peer_gaps.set(i64::try_from(counters.gaps).unwrap_or(i64::MAX));
         self.shared.metrics.reads_alone.set(i64::try_from(counters.alone).unwrap_or(i64::MAX));
+        self.shared.metrics.fetches.set(i64::try_from(counters.fetches).unwrap_or(i64::MAX));
+        let failed = i64::try_from(counters.failed_fetches).unwrap_or(i64::MAX);
+        self.shared.metrics.failed_fetches.set(failed);
         self.execute(now, steps);
         self.update_readiness_and_feed(now);
     }
 
+    fn on_stream_event(&mut self, event: StreamEvent) {
+        let now = self.shared.clock.now();
+        match event {
+            StreamEvent::Request { bytes, busy, response } => {
+                if let Some(bytes) = self.respond_to_fetch(now, &bytes, busy) {
+                    // The peer may have given up meanwhile.
+                    let _ = response.send(bytes);
+                }
+            }
+            StreamEvent::Ended { from, response } => {
+                let steps = self.on_stream_ended(now, &from, response);
+                self.execute(now, steps);
+                self.update_readiness_and_feed(now);
+            }
+        }
+    }
+
+    /// Returns the response to a request of a peer over a stream, or `None` if it is invalid.
+    fn respond_to_fetch(&mut self, now: Millis, bytes: &[u8], busy: bool) -> Option<Vec<u8>> {
+        let (from, message) = self.peers.decode_from_stream(bytes)?;
+        let SharingMessage::Ask { after } = message else { return None };
+        let metrics = &self.shared.metrics;
+        let response = if busy {
+            metrics.streams_refused.inc();
+            self.sharing.refuse_fetch()
+        } else {
+            metrics.streams_served.inc();
+            self.sharing.on_fetch(now, &from, after, view(&self.forwarder))
+        };
+        self.peers.encode_for_stream(response)
+    }
+
+    fn on_stream_ended(
+        &mut self,
+        now: Millis,
+        from: &VmId,
+        response: io::Result<Vec<u8>>,
+    ) -> Vec<SharingStep> {
+        let response = match response {
+            Ok(bytes) => self.peers.decode_from_stream(&bytes),
+            Err(error) => {
+                let (vm, cause) = (from.to_string(), error.to_string());
+                debug!(
+                    event = "fetch-failed", vm = vm.as_str(), cause = cause.as_str();
+                    "a peer did not send routes and targets; trying another one"
+                );
+                None
+            }
+        };
+        match response.filter(|(sender, _)| sender == from) {
+            Some((_, message)) => {
+                self.sharing.on_transfer(now, from, message, view(&self.forwarder))
+            }
+            None => self.sharing.on_transfer_failure(now, from, TransferFailure::Failed),
+        }
+    }
+
     fn execute(&mut self, now: Millis, steps: Vec<SharingStep>) {
-        for step in steps {
+        let mut steps = VecDeque::from(steps);
+        while let Some(step) = steps.pop_front() {
             match step {
                 SharingStep::Message { to, message } => {
                     self.peers.send(&to, ForwardMessage::Sharing(message));
                 }
                 SharingStep::Apply(changes) => self.forwarder.apply_shared(now, changes),
+                SharingStep::Fetch { from, after } => {
+                    let request = self.peers.encode_for_stream(SharingMessage::Ask { after });
+                    match self.peers.address_of(&from).zip(request) {
+                        Some((address, request)) => {
+                            streams::fetch(from, address, request, self.stream_events.clone());
+                        }
+                        None => {
+                            let failure = TransferFailure::Failed;
+                            steps.extend(self.sharing.on_transfer_failure(now, &from, failure));
+                        }
+                    }
+                }
             }
         }
     }
@@ -151,7 +240,7 @@
     fn update_readiness_and_feed(&mut self, now: Millis) {
         let age = self.sharing.age(now);
         self.forwarder.set_confirmed(now - age);
-        if !self.joined && self.forwarder.router().is_ready() {
+        if !self.joined && self.sharing.position() > Revision(0) {
             self.joined = true;
             if self.peers.set_ready(now) {
                 self.sharing.set_members(self.peers.members());
@@ -166,6 +255,7 @@
                 "the source of routes and targets changed"
             );
             self.source = source;
+            self.shared.metrics.set_source(name);
         }
         let mode = match source {
             Source::Reader | Source::Fallback => {
@@ -173,7 +263,7 @@
                 let retry = if probes { RetryPace::Fast } else { RetryPace::Slow };
                 FeedMode::Follow { known: self.sharing.position(), retry }
             }
-            Source::Peers => FeedMode::Idle,
+            Source::Starting | Source::Peers => FeedMode::Idle,
         };
         self.feed_mode.send_if_modified(|current| {
             let modified = *current != mode;
@@ -190,6 +280,7 @@
 
 fn source_name(source: Source) -> &'static str {
     match source {
+        Source::Starting => "starting",
         Source::Reader => "reader",
         Source::Fallback => "alone",
         Source::Peers => "peers",
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -10,7 +10,9 @@
     ClientSegment, Destination, DropCause, ResetCause, SegmentKind, TokenRouter, Verdict,
 };
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Effect, Revision, Routes, SharedChanges, TargetChange};
+use jasminecart_core::version::{
+    Effect, Revision, Routes, SharedChanges, TargetChange, TargetRecord,
+};
 use log::{info, warn};
 use tokio::net::UdpSocket;
 
@@ -210,14 +212,37 @@
     /// Applies a full read of the store. Returns whether anything changed.
     pub(crate) fn apply_snapshot(&mut self, now: Millis, snapshot: Snapshot) -> bool {
         self.shared.metrics.refused_entries.inc_by(snapshot.refused);
-        let effects = self.router.set_targets(now, snapshot.targets, snapshot.revision);
-        for (name, effect) in &effects {
-            events::target_changed(name, *effect, snapshot.revision, "store");
-        }
+        let replaced = self.replace_targets(now, snapshot.targets, snapshot.revision, "store");
         let adopted =
             snapshot.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
         self.advance_to(now, snapshot.revision);
-        adopted || !effects.is_empty()
+        adopted || replaced
+    }
+
+    /// Replaces all targets. Returns whether that changed any. The first targets of the process are
+    /// logged as one line, since a small VM spends more time on a line for each than on using them.
+    fn replace_targets(
+        &mut self,
+        now: Millis,
+        records: Vec<TargetRecord>,
+        revision: Revision,
+        source: &str,
+    ) -> bool {
+        let first = self.router.targets().iter().next().is_none();
+        let effects = self.router.set_targets(now, records, revision);
+        if first {
+            self.shared.metrics.first_state_ms.set(now.get() as i64);
+            info!(
+                event = "targets-loaded", targets = effects.len(), revision = revision.0,
+                source = source, after_ms = now.get();
+                "the first targets of this process were loaded"
+            );
+        } else {
+            for (name, effect) in &effects {
+                events::target_changed(name, *effect, revision, source);
+            }
+        }
+        !effects.is_empty()
     }
 
     /// Applies changes from a watch of the store. Returns whether anything changed.
@@ -235,10 +260,7 @@
         let source = changes.from.name;
         if changes.complete {
             let records = changes.targets.into_iter().filter_map(TargetChange::into_written);
-            let effects = self.router.set_targets(now, records.collect(), changes.upto);
-            for (name, effect) in &effects {
-                events::target_changed(name, *effect, changes.upto, source.as_str());
-            }
+            self.replace_targets(now, records.collect(), changes.upto, source.as_str());
         } else {
             self.apply_targets(now, changes.targets, changes.upto, source.as_str());
         }
--- a/crates/jasminecart-forward/src/lib.rs
+++ b/crates/jasminecart-forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod process;
 mod readiness;
 mod settings;
+mod streams;
 
 pub use crate::edges::{Changes, Directory, DirectoryError, Encapsulation, SegmentError, Snapshot};
 pub use crate::errors::{Error, Result};
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -12,6 +12,9 @@
 const LATENCY_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0];
 
+/// The names of the sources of routes and targets in metrics and logs.
+pub(crate) const SOURCE_NAMES: [&str; 4] = ["starting", "reader", "alone", "peers"];
+
 /// The label of metrics per route. Operators configure routes, which bounds its cardinality.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RouteLabel {
@@ -24,6 +27,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// The label of the metric that tells where routes and targets come from.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SourceLabel {
+    pub(crate) source: &'static str,
+}
+
 /// The metrics of the process with their registry.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -54,6 +63,12 @@
     pub(crate) peer_gaps: Gauge,
     pub(crate) reads_alone: Gauge,
     pub(crate) peer_unknown: Counter,
+    pub(crate) source: Family<SourceLabel, Gauge>,
+    pub(crate) first_state_ms: Gauge,
+    pub(crate) fetches: Gauge,
+    pub(crate) failed_fetches: Gauge,
+    pub(crate) streams_served: Counter,
+    pub(crate) streams_refused: Counter,
     pub(crate) reloads: Counter,
     pub(crate) reloads_refused: Counter,
     pub(crate) log_lines_suppressed: Counter,
@@ -114,6 +129,21 @@
                 "How often this VM began to read the directory because its peers fell silent"
             ),
             peer_unknown: register!(peer_unknown, "Messages to VMs whose address is not known"),
+            source: register!(
+                source,
+                "1 for the source of routes and targets that is in use, 0 for the others"
+            ),
+            first_state_ms: register!(
+                first_state_ms,
+                "Milliseconds from the start of the process to its first routes and targets"
+            ),
+            fetches: register!(fetches, "Streams to peers opened to get routes and targets"),
+            failed_fetches: register!(failed_fetches, "Those that a peer refused or that failed"),
+            streams_served: register!(streams_served, "Streams of peers that were served"),
+            streams_refused: register!(
+                streams_refused,
+                "Streams of peers that were refused because others were served"
+            ),
             reloads: register!(reloads, "Settings read again and put into force"),
             reloads_refused: register!(reloads_refused, "Settings read again and refused"),
             log_lines_suppressed: register!(
@@ -125,6 +155,13 @@
         }
     }
 
+    /// Sets the source of routes and targets that is in use.
+    pub(crate) fn set_source(&self, source: &'static str) {
+        for name in SOURCE_NAMES {
+            self.source.get_or_create(&SourceLabel { source: name }).set(i64::from(name == source));
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(crate) fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/jasminecart-forward/src/peers.rs
+++ b/crates/jasminecart-forward/src/peers.rs
@@ -8,8 +8,8 @@
 use jasminecart_core::message::PeerMessage;
 use jasminecart_core::names::VmId;
 use jasminecart_core::process::{
-    Discovery, DiscoveryMessage, Event, MemberLimits, MemberMessage, Members, Membership,
-    PeerAddress, VmHint,
+    Discovery, DiscoveryMessage, Event, Introduction, MemberLimits, MemberMessage, Members,
+    Membership, PeerAddress, VmHint,
 };
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::SharingMessage;
@@ -24,7 +24,7 @@
 use crate::settings::Settings;
 
 /// The version of the datagram format. Datagrams of another version are ignored.
-const PROTOCOL: u8 = 2;
+const PROTOCOL: u8 = 3;
 /// The maximum size of a datagram, which fits an Ethernet frame.
 const MAX_DATAGRAM: usize = 1_472;
 /// The maximum number of datagrams handled before packets of clients are polled.
@@ -73,11 +73,18 @@
     buf: Box<[u8]>,
 }
 
-/// A received message about routes and targets, with its sender.
+/// What a received datagram tells about routes and targets.
 #[derive(Debug)]
-pub(crate) struct Received {
-    pub(crate) from: VmId,
-    pub(crate) message: SharingMessage,
+pub(crate) enum Received {
+    /// A message about routes and targets.
+    Sharing {
+        /// The sender.
+        from: VmId,
+        /// The message.
+        message: SharingMessage,
+    },
+    /// Introductions of VMs, some of which may have routes and targets.
+    Introductions(Vec<Introduction>),
 }
 
 impl Peers {
@@ -99,7 +106,7 @@
             me,
             socket,
             membership: membership.with_size(settings.size),
-            discovery: Discovery::new(hint, seeds(settings)),
+            discovery: Discovery::new(hint, settings.size, seeds(settings)),
             keys: settings.peer_keys.clone(),
             metrics,
             buf: vec![0; MAX_DATAGRAM].into(),
@@ -116,8 +123,10 @@
         self.membership.members()
     }
 
-    /// Announces that this VM is ready. Returns whether the list of members changed.
+    /// Announces that this VM has routes and targets. Returns whether the list of members changed.
     pub(crate) fn set_ready(&mut self, now: Millis) -> bool {
+        self.discovery.set_loaded();
+        self.send_hellos(now);
         let events = self.membership.set_ready(now);
         self.handle_events(events)
     }
@@ -130,12 +139,57 @@
 
     /// Runs the timers of membership and discovery. Returns whether the list of members changed.
     pub(crate) fn tick(&mut self, now: Millis) -> bool {
+        self.send_hellos(now);
+        let events = self.membership.tick(now);
+        self.handle_events(events)
+    }
+
+    fn send_hellos(&mut self, now: Millis) {
         let alone = self.membership.members().peers().next().is_none();
         for (to, message) in self.discovery.tick(now, alone) {
             self.send_to(to, ForwardMessage::Discovery(message));
         }
-        let events = self.membership.tick(now);
-        self.handle_events(events)
+    }
+
+    /// Returns the address at which a VM accepts messages and streams, if it is known.
+    pub(crate) fn address_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        self.membership.address_of(vm).map(|address| address.control)
+    }
+
+    /// Encodes a message for a stream, which carries messages of any size.
+    pub(crate) fn encode_for_stream(&self, message: SharingMessage) -> Option<Vec<u8>> {
+        self.encode_signed(ForwardMessage::Sharing(message))
+    }
+
+    /// Decodes a message about routes and targets that was received over a stream. Returns `None`,
+    /// and counts it, if it is malformed, of another kind or not signed by a VM.
+    pub(crate) fn decode_from_stream(&self, bytes: &[u8]) -> Option<(VmId, SharingMessage)> {
+        match self.verify(bytes)? {
+            PeerDatagram { from, message: ForwardMessage::Sharing(message), .. } => {
+                Some((from, message))
+            }
+            PeerDatagram { .. } => {
+                self.metrics.peer_malformed.inc();
+                None
+            }
+        }
+    }
+
+    /// Verifies and decodes a datagram. Returns `None`, and counts it, if it is refused.
+    fn verify(&self, bytes: &[u8]) -> Option<PeerDatagram> {
+        let message = match self.keys.verify(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                let label = CauseLabel { cause: events::verify_label(error) };
+                self.metrics.peer_refused.get_or_create(&label).inc();
+                return None;
+            }
+        };
+        let datagram = PeerDatagram::decode(message);
+        if datagram.is_none() {
+            self.metrics.peer_malformed.inc();
+        }
+        datagram
     }
 
     pub(crate) async fn readable(&self) -> io::Result<()> {
@@ -157,18 +211,7 @@
                     break;
                 }
             };
-            let message = match self.keys.verify(&buf[..length]) {
-                Ok(message) => message,
-                Err(error) => {
-                    let label = CauseLabel { cause: events::verify_label(error) };
-                    self.metrics.peer_refused.get_or_create(&label).inc();
-                    continue;
-                }
-            };
-            let Some(datagram) = PeerDatagram::decode(message) else {
-                self.metrics.peer_malformed.inc();
-                continue;
-            };
+            let Some(datagram) = self.verify(&buf[..length]) else { continue };
             self.metrics.peer_received.inc();
             changed |= self.on_datagram(now, datagram, &mut received);
         }
@@ -201,26 +244,45 @@
                 let events = self.membership.on_message(now, &from, message);
                 self.handle_events(events)
             }
-            ForwardMessage::Discovery(DiscoveryMessage::Hello(hint)) => {
-                let (to, response) = self.discovery.on_hello(now, hint);
+            ForwardMessage::Discovery(DiscoveryMessage::Hello(introduction)) => {
+                let (to, response) = self.discovery.on_hello(now, introduction.clone());
                 self.send_to(to, ForwardMessage::Discovery(response));
-                let hints = self.discovery.hints();
-                let events = self.membership.on_vm_list(now, &hints);
-                self.handle_events(events)
+                // Hellos of known VMs are frequent, and change nothing.
+                let known = self.membership.address_of(&introduction.hint.vm).is_some();
+                let introduced = if known { Vec::new() } else { vec![introduction] };
+                self.on_introductions(now, introduced, out)
             }
-            ForwardMessage::Discovery(DiscoveryMessage::Known(mut hints)) => {
-                hints.retain(|hint| hint.vm.data_centre == self.me.data_centre);
-                hints.extend(self.discovery.hints());
-                let events = self.membership.on_vm_list(now, &hints);
-                self.handle_events(events)
+            ForwardMessage::Discovery(DiscoveryMessage::Known(introductions)) => {
+                self.on_introductions(now, introductions, out)
             }
             ForwardMessage::Sharing(message) => {
-                out.push(Received { from, message });
+                out.push(Received::Sharing { from, message });
                 false
             }
         }
     }
 
+    /// Passes on introductions of VMs of this data centre. Returns whether the list of members
+    /// changed.
+    fn on_introductions(
+        &mut self,
+        now: Millis,
+        mut introductions: Vec<Introduction>,
+        out: &mut Vec<Received>,
+    ) -> bool {
+        let me = &self.me;
+        introductions.retain(|introduction| {
+            introduction.hint.vm.data_centre == me.data_centre && introduction.hint.vm != *me
+        });
+        if introductions.is_empty() {
+            return false;
+        }
+        let hints = introductions.iter().map(|introduction| &introduction.hint);
+        let events = self.membership.on_introductions(now, hints);
+        out.push(Received::Introductions(introductions));
+        self.handle_events(events)
+    }
+
     /// Handles events of the membership. Returns whether the list of members changed.
     fn handle_events(&mut self, events: Vec<Event>) -> bool {
         let mut changed = false;
@@ -248,21 +310,24 @@
         }
     }
 
+    /// Encodes a message as a datagram.
     fn encode(&self, message: ForwardMessage) -> Option<Vec<u8>> {
+        let bytes = self.encode_signed(message)?;
+        if bytes.len() <= MAX_DATAGRAM {
+            return Some(bytes);
+        }
+        let length = bytes.len();
+        warn!(
+            event = "peer-message-too-long", bytes = length;
+            "a message to a peer exceeds {MAX_DATAGRAM} bytes and was not sent"
+        );
+        None
+    }
+
+    fn encode_signed(&self, message: ForwardMessage) -> Option<Vec<u8>> {
         let datagram = PeerDatagram { protocol: PROTOCOL, from: self.me.clone(), message };
         match postcard::to_stdvec(&datagram) {
-            Ok(bytes) => {
-                let signed = self.keys.sign(&bytes);
-                if signed.len() <= MAX_DATAGRAM {
-                    return Some(signed);
-                }
-                let length = signed.len();
-                warn!(
-                    event = "peer-message-too-long", bytes = length;
-                    "a message to a peer exceeds {MAX_DATAGRAM} bytes and was not sent"
-                );
-                None
-            }
+            Ok(bytes) => Some(self.keys.sign(&bytes)),
             Err(error) => {
                 let cause = error.to_string();
                 warn!(
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -9,7 +9,7 @@
 
 use jasminecart_core::Incarnation;
 use jasminecart_core::flow::token::{TokenRouter, TokenRouterLimits};
-use jasminecart_core::version::{Revision, Sharing, SharingLimits, Source};
+use jasminecart_core::version::{Sharing, SharingLimits, Source};
 use jasminecart_runtime::clock::Clock;
 use jasminecart_runtime::log_output::LogOutput;
 use log::{info, warn};
@@ -20,18 +20,21 @@
 use crate::daemon::{Command, Daemon};
 use crate::edges::{Directory, Encapsulation};
 use crate::errors::{Error, Result};
-use crate::feed::{self, FeedLimits, FeedMode, RetryPace};
+use crate::feed::{self, FeedLimits, FeedMode};
 use crate::forwarder::Forwarder;
 use crate::http::{self, Page};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::readiness::Readiness;
 use crate::settings::Settings;
+use crate::streams;
 
 /// The maximum number of updates that wait for the main loop, which handles them before packets.
 const UPDATE_QUEUE: usize = 16;
 /// The maximum number of commands that wait for the main loop.
 const COMMAND_QUEUE: usize = 4;
+/// The maximum number of events of streams that wait for the main loop.
+const STREAM_QUEUE: usize = 16;
 /// The period at which buffered log lines are written.
 const LOG_FLUSH_PERIOD: Duration = Duration::from_millis(250);
 
@@ -83,8 +86,7 @@
     info!(event = "start", vm = vm.as_str(), seed = seed; "the process starts");
     tokio::task::spawn_local(flush_log(log, metrics.clone()));
     let (tx, rx) = mpsc::channel(UPDATE_QUEUE);
-    let initial = FeedMode::Follow { known: Revision(0), retry: RetryPace::Fast };
-    let (feed_mode, mode_rx) = watch::channel(initial);
+    let (feed_mode, mode_rx) = watch::channel(FeedMode::Idle);
     let limits = FeedLimits::default();
     let followed = feed::follow(Rc::new(directory), limits, metrics.clone(), mode_rx, tx);
     tokio::task::spawn_local(followed);
@@ -92,18 +94,22 @@
     let router = TokenRouter::new(&settings.me, seed, TokenRouterLimits::default());
     let peer_socket = bind("peer", settings.listen.peers).await?;
     let peers = Peers::new(&settings, peer_socket, incarnation(), seed, metrics);
-    let sharing_limits = SharingLimits::default().with_link(settings.link_megabits);
+    let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
+    streams::listen(settings.listen.peers, settings.link_megabits, stream_tx.clone()).await?;
+    let jitter = seed as f64 / u64::MAX as f64;
+    let sharing_limits = SharingLimits::default().with_link(settings.link_megabits, jitter);
     let daemon = Daemon {
         forwarder: Forwarder::new(socket, encapsulation, router, shared.clone()),
         peers,
         sharing: Sharing::new(settings.me.clone(), sharing_limits),
         shared: shared.clone(),
         feed_mode,
-        source: Source::Fallback,
+        stream_events: stream_tx,
+        source: Source::Starting,
         joined: false,
     };
     let (command_tx, command_rx) = mpsc::channel(COMMAND_QUEUE);
-    tokio::task::spawn_local(daemon.run(rx, command_rx));
+    tokio::task::spawn_local(daemon.run(rx, command_rx, stream_rx));
     http::listen(settings.listen.readiness, Page::Readiness, shared.clone()).await?;
     http::listen(settings.listen.operators, Page::Metrics, shared.clone()).await?;
     let mut signals = Signals::new()?;
