Test starts of 300 VMs, discovery and streams; rank first readers

The simulation found that VMs with slow links alone all read the store when their delay ends, long before the first of them has the state.

Change: a VM that waits reads the store only if it is among the first two by size of the starting VMs that it knows, or after 1.2 s more. A stream is served for each 20 Mbit/s instead of 50. A VM without seeds does not wait.

--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -45,6 +45,13 @@
     /// store. When all VMs of a large deployment start together, the store's link would be shared
     /// by all of them; VMs with fast links read it first and send what they read to the others.
     pub store_delay: Millis,
+    /// This VM's capacity relative to the others, by which they are ranked as readers.
+    pub size: u32,
+    /// How many of the VMs of a data centre that start without a peer to ask read the store after
+    /// [`SharingLimits::store_delay`], as far as each knows the others.
+    pub first_readers: usize,
+    /// How long the others wait for them.
+    pub first_reader_time: Millis,
     /// How long a VM that received its first state from a peer does not become a reader. It learns
     /// of the other members meanwhile.
     pub join_time: Millis,
@@ -70,6 +77,9 @@
             max_report_age: Millis(2_500),
             max_delta_age: Millis::from_secs(60),
             store_delay: Millis::ZERO,
+            size: 1,
+            first_readers: 2,
+            first_reader_time: Millis(1_200),
             join_time: Millis(2_000),
             transfer_patience: Millis(1_000),
             max_update_bytes: SharingLimits::max_update_bytes(1_000),
@@ -90,6 +100,12 @@
     /// The range of the random part of that time.
     const STORE_DELAY_SPREAD: Millis = Millis(300);
 
+    /// Sets this VM's capacity relative to the others.
+    pub fn with_size(mut self, size: u32) -> SharingLimits {
+        self.size = size;
+        self
+    }
+
     /// Sets the limits that depend on the VM's link of `megabits` Mbit/s. `jitter` is a random
     /// number from 0 to 1, which spreads the reads of VMs that start together.
     pub fn with_link(mut self, megabits: u32, jitter: f64) -> SharingLimits {
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -13,6 +13,7 @@
 mod parts;
 mod transfers;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -76,6 +77,8 @@
     /// has not received.
     needs_full_state: bool,
     transfers: Transfers,
+    /// The other VMs that are known to have started without routes and targets, with their sizes.
+    starting: BTreeMap<VmId, u32>,
     /// The position at which this VM's view last changed.
     changed_at: Revision,
     /// When the store last confirmed this VM's view, directly or through a peer.
@@ -111,6 +114,7 @@
             joined_at: None,
             needs_full_state: false,
             transfers: Transfers::default(),
+            starting: BTreeMap::new(),
             changed_at: Revision(0),
             confirmed_at: None,
             peer_has_confirmed: false,
@@ -131,7 +135,7 @@
         // count as equal.
         let rank = |member: &&Member| {
             let hash = rendezvous::hash(("store readers", &member.vm));
-            std::cmp::Reverse((member.size.max(1).ilog2(), hash))
+            Reverse((member.size.max(1).ilog2(), hash))
         };
         let mut ranked: Vec<&Member> = eligible.collect();
         ranked.sort_by_cached_key(rank);
@@ -170,11 +174,25 @@
     /// goes on, because a read that was abandoned would have to start over.
     fn first_source(&mut self, now: Millis) -> Source {
         let started_at = *self.started_at.get_or_insert(now);
-        let waits = now.since(started_at) < self.limits.store_delay || self.transfers.is_active();
-        self.reads_first_state |= !waits;
+        let age = now.since(started_at);
+        let leaves_it_to_others = self.limits.store_delay > Millis::ZERO
+            && age < self.limits.store_delay + self.limits.first_reader_time
+            && !self.is_first_reader();
+        let waits =
+            age < self.limits.store_delay || self.transfers.is_active() || leaves_it_to_others;
+        self.reads_first_state |= !waits || self.store_failed;
         if self.reads_first_state { Source::Fallback } else { Source::Starting }
     }
 
+    /// Returns whether this VM is one of the first, by size, of the VMs that it knows to be starting
+    /// too. Where no VM has a fast link, these read the store for the others.
+    fn is_first_reader(&self) -> bool {
+        let rank = |vm: &VmId, size: u32| Reverse((size.max(1).ilog2(), rendezvous::hash(vm)));
+        let own = rank(&self.me, self.limits.size);
+        let before = self.starting.iter().filter(|(vm, size)| rank(vm, **size) < own);
+        before.count() < self.limits.first_readers
+    }
+
     /// Returns whether no peer sent in time what one of them offered.
     fn misses_offer(&self, now: Millis) -> bool {
         self.position < self.offered_upto && now >= self.offer_expires_at
@@ -346,8 +364,14 @@
     ) -> Vec<SharingStep> {
         for introduction in introductions {
             let vm = &introduction.hint.vm;
-            if introduction.loaded && vm.data_centre == self.me.data_centre {
+            if vm.data_centre != self.me.data_centre || *vm == self.me {
+                continue;
+            }
+            if introduction.loaded {
+                self.starting.remove(vm);
                 self.transfers.add_source(vm, Some(introduction.size), FIRST_REVISION);
+            } else if self.position == Revision(0) {
+                self.starting.insert(vm.clone(), introduction.size);
             }
         }
         self.fetch(now).into_iter().collect()
@@ -529,6 +553,7 @@
         self.counters.applied += 1;
         if self.position == Revision(0) {
             self.joined_at = Some(now);
+            self.starting.clear();
         }
         self.changed_at = upto;
         let targets = items.into_iter().filter_map(|item| match item {
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -6,4 +6,5 @@
 mod sharing;
 mod silent_targets;
 mod slow_targets;
+mod startup;
 mod support;
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -9,6 +9,7 @@
 
 use jasminecart_core::Incarnation;
 use jasminecart_core::flow::token::{TokenRouter, TokenRouterLimits};
+use jasminecart_core::time::Millis;
 use jasminecart_core::version::{Sharing, SharingLimits, Source};
 use jasminecart_runtime::clock::Clock;
 use jasminecart_runtime::log_output::LogOutput;
@@ -97,7 +98,8 @@
     let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
     streams::listen(settings.listen.peers, settings.link_megabits, stream_tx.clone()).await?;
     let jitter = seed as f64 / u64::MAX as f64;
-    let sharing_limits = SharingLimits::default().with_link(settings.link_megabits, jitter);
+    let sharing_limits =
+        SharingLimits::default().with_size(settings.size).with_link(settings.link_megabits, jitter);
     let daemon = Daemon {
         forwarder: Forwarder::new(socket, encapsulation, router, shared.clone()),
         peers,
--- a/crates/jasminecart-forward/src/streams.rs
+++ b/crates/jasminecart-forward/src/streams.rs
@@ -24,8 +24,8 @@
 /// The longest accepted response. Records of 3,400 targets and 1,600 routes take about 400 KB.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// The rate for which one more stream is served at a time, in Mbit/s. A stream has up to 64 KB in
-/// flight, which delay packets of clients by 10 ms on such a link.
-const MEGABITS_PER_STREAM: u32 = 50;
+/// flight, which delay packets of clients by 25 ms on such a link.
+const MEGABITS_PER_STREAM: u32 = 20;
 /// How many requests wait for each stream that is served at a time. Further ones are refused.
 const MAX_WAITING_PER_STREAM: usize = 6;
 /// The longest time to open a connection. VMs of a data centre are less than 1 ms apart.
