Do not wait for peers without seeds

Cause: a VM without seeds can't find a peer, so that waiting for one delays its start by 0.4 to 0.7 s.

--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -98,8 +98,12 @@
     let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
     streams::listen(settings.listen.peers, settings.link_megabits, stream_tx.clone()).await?;
     let jitter = seed as f64 / u64::MAX as f64;
-    let sharing_limits =
+    let mut sharing_limits =
         SharingLimits::default().with_size(settings.size).with_link(settings.link_megabits, jitter);
+    if settings.seeds.is_empty() {
+        // There is no way to find a peer that could send routes and targets.
+        sharing_limits.store_delay = Millis::ZERO;
+    }
     let daemon = Daemon {
         forwarder: Forwarder::new(socket, encapsulation, router, shared.clone()),
         peers,
