Refuse new flows to overloaded services

Cause of what ruled refusals out before: nearly all feeds are open and may not be reset. But a feed whose request a target sheds opens a new flow, so that refusing new flows soon shortens the queues.

Change: the latency of first requests, relative to their objective, tells overload; from half the objective on, for 200 ms, new flows are refused beyond a limit on requests in progress (throughput times 0.6 of the objective), the most urgent routes of a service last. Nothing is refused in the first 3 s of a process, nor without samples of the last 500 ms. 'measure overload' with three baselines.

--- a/crates/jasminecart-bench/src/bin/measure.rs
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -6,7 +6,7 @@
 use bpaf::Bpaf;
 use jasminecart_bench::report::Report;
 use jasminecart_bench::{
-    capacity, documents, faults, flows, membership, packets, requests, steering,
+    capacity, documents, faults, flows, membership, overload, packets, requests, steering,
 };
 use jasminecart_core::invariant;
 use peak_alloc::PeakAlloc;
@@ -39,6 +39,9 @@
     /// Choice of targets for flows with a routing token, next to three baselines
     #[bpaf(command)]
     Steering(#[bpaf(external(common))] Common),
+    /// Admission of new flows under overload, next to three baselines
+    #[bpaf(command)]
+    Overload(#[bpaf(external(common))] Common),
 }
 
 #[derive(Clone, Debug, Bpaf)]
@@ -95,5 +98,6 @@
         Case::Capacity(options) => capacity::run(options.seed, options.plots.as_deref()),
         Case::Packets(common) => packets::run(common.seed),
         Case::Steering(common) => steering::run(common.seed),
+        Case::Overload(common) => overload::run(common.seed),
     }
 }
--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod flows;
 pub mod membership;
 pub mod message_queue;
+pub mod overload;
 pub mod packets;
 pub mod report;
 pub mod requests;
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -4,12 +4,13 @@
 //! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
-//! the latency of targets, `refusal` detects targets that refuse requests, and `silence` detects targets that
-//! do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
+//! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
+//! overloaded services, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
 //! token.
 
 mod observed_target;
 mod open_flows;
+mod overload;
 mod refusal;
 mod relative_latency;
 mod routing_token;
@@ -19,6 +20,7 @@
 mod token_router;
 mod verdict;
 
+pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
 pub use self::target_selector::{Choice, Load};
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -34,6 +34,8 @@
     pub(super) bytes: u32,
     /// The client's acknowledgement when the request in progress began, where its response starts.
     response_start: u32,
+    /// Whether the request in progress is the one for which the flow was opened.
+    is_first_request: bool,
 }
 
 /// What a segment of an open flow shows about its target and request.
@@ -61,6 +63,8 @@
     /// The bytes of the response that the client has acknowledged. It acknowledges a long response in parts, so
     /// that this may be less than the whole.
     pub(super) response_bytes: u32,
+    /// Whether it is the one for which its flow was opened, through this VM.
+    pub(super) is_first: bool,
 }
 
 impl OpenFlow {
@@ -78,6 +82,7 @@
             retransmissions: 0,
             bytes: 0,
             response_start: 0,
+            is_first_request: true,
         }
     }
 
@@ -96,6 +101,7 @@
             retransmissions: 0,
             bytes: u32::from(segment.payload),
             response_start: segment.ack,
+            is_first_request: false,
         }
     }
 
@@ -106,9 +112,19 @@
             started_at,
             bytes: self.bytes,
             response_bytes,
+            is_first: self.is_first_request,
         })
     }
 
+    /// Starts the next request, if one is in progress.
+    fn start_next_request(&mut self, now: Millis, response_start: u32) {
+        if let Some(started_at) = &mut self.request_started_at {
+            *started_at = now;
+            (self.bytes, self.response_start) = (0, response_start);
+            self.is_first_request = false;
+        }
+    }
+
     /// Handles a segment that follows the opening.
     pub(super) fn on_segment(&mut self, now: Millis, segment: &ClientSegment) -> Observation {
         let first = !self.established;
@@ -136,9 +152,15 @@
             if observation.progress && !first {
                 observation.completed = self.request();
                 (self.request_started_at, self.bytes) = (None, 0);
+                self.is_first_request = false;
             }
         } else if first || is_after(end, self.next_seq) {
             self.next_seq = end;
+            if observation.progress && !first {
+                // The client has received a response and sends the next request. It does not
+                // acknowledge a response of one packet on its own, so that the latency is unknown.
+                self.start_next_request(now, segment.ack);
+            }
             self.bytes = self.bytes.saturating_add(u32::from(segment.payload));
             self.waiting_since.get_or_insert(now);
             if self.request_started_at.is_none() {
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -10,6 +10,7 @@
 
 use super::observed_target::ObservedTarget;
 use super::open_flows::OpenFlows;
+use super::overload::{OverloadChange, OverloadControl};
 use super::relative_latency::RouteMeans;
 use super::routing_token::RoutingToken;
 use super::segment::{ClientSegment, SegmentKind};
@@ -30,12 +31,14 @@
 pub struct TokenRouterLimits {
     /// The maximum number of tracked flows. Flows beyond it are routed, but not tracked.
     pub max_flows: usize,
+    /// Whether new flows to overloaded services are refused.
+    pub refuses_under_overload: bool,
 }
 
 impl Default for TokenRouterLimits {
     fn default() -> Self {
         // About 100 bytes each. A VM is planned to carry 14,500 open flows in two years.
-        TokenRouterLimits { max_flows: 20_000 }
+        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true }
     }
 }
 
@@ -58,6 +61,7 @@
     /// The silence of whole data centres, which a partition between them causes.
     data_centres: Vec<(Name, SilenceDetector)>,
     route_means: RouteMeans,
+    overload: OverloadControl,
     selector: TargetSelector,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
@@ -83,6 +87,7 @@
             last_delivered_at: Millis::ZERO,
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
+            overload: OverloadControl::default(),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
             decision: None,
@@ -99,6 +104,9 @@
         if adopt {
             let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
             self.route_means.retain(|name| names.contains(name));
+            let services = routes.by_address.values().flat_map(|rule| &rule.services);
+            let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
+            self.overload.retain(|service| services.contains(service));
             self.routes = Some(routes);
         }
         adopt
@@ -140,6 +148,9 @@
 
     /// Expires targets and idle flows. Call it about every 100 ms.
     pub fn tick(&mut self, now: Millis) {
+        if self.is_ready() {
+            self.overload.tick(now);
+        }
         let expired = self.list.expire(now);
         for name in &expired.removed {
             self.update_target(now, name, Effect::Changed);
@@ -184,6 +195,16 @@
         std::mem::take(&mut self.suspicion_changes)
     }
 
+    /// Returns which services became overloaded, or recovered, since the last call.
+    pub fn take_overload_changes(&mut self) -> Vec<OverloadChange> {
+        self.overload.take_changes()
+    }
+
+    /// Returns how many services are overloaded.
+    pub fn overloaded_services(&self) -> usize {
+        self.overload.overloaded_count()
+    }
+
     /// Returns how many targets are suspected of being silent.
     pub fn suspects(&self) -> usize {
         self.targets.iter().filter(|target| target.silence.is_suspected()).count()
@@ -256,6 +277,9 @@
                 Verdict::Drop(DropCause::NoTargetYet)
             };
         };
+        if !self.admits(now, &service, rule) {
+            return Verdict::Reset(ResetCause::Overloaded);
+        }
         let may_probe = rule.repeatable == Repeatable::Always;
         self.update_eligibility(now, &service);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
@@ -281,6 +305,18 @@
         Verdict::Forward(destination)
     }
 
+    /// Returns whether a new flow to a service is opened, or refused because of overload. The
+    /// client may retry it: a flow that was never opened has not run anything.
+    fn admits(&mut self, now: Millis, service: &Name, rule: &RouteRule) -> bool {
+        if !self.limits.refuses_under_overload {
+            return true;
+        }
+        let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let targets = &self.targets;
+        let in_progress = || indices.iter().map(|index| targets[*index].active_requests).sum();
+        self.overload.admits(now, service, rule.priority, in_progress)
+    }
+
     fn record_decision(
         &mut self,
         rule: &RouteRule,
--- a/crates/jasminecart-core/src/flow/token/token_router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/learning.rs
@@ -174,6 +174,11 @@
             self.counters.refusals += 1;
         } else {
             self.route_means.add(now, &rule.name, latency, &request, &mut target.relative_latency);
+            let service = &target.service;
+            self.overload.on_served(now, service, rule.priority, rule.objective);
+            if request.is_first {
+                self.overload.on_first_latency(now, service, latency, rule.objective);
+            }
         }
         let (route, target) = (rule.name.clone(), target.name.clone());
         let bytes = request.response_bytes;
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -46,6 +46,8 @@
     TargetGone,
     /// The target of the flow is silent, and the client may retry its request at another one.
     TargetSilent,
+    /// The flow is new, and the targets of the service are overloaded.
+    Overloaded,
 }
 
 /// What to do with a packet.
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -1,6 +1,7 @@
 //! Tests of routing by a token and of sharing the view that it needs. Each test says which failure it guards
 //! against.
 
+mod overload;
 mod refusing_targets;
 mod routing;
 mod sharing;
--- a/crates/jasminecart-core/tests/token/routing.rs
+++ b/crates/jasminecart-core/tests/token/routing.rs
@@ -281,7 +281,7 @@
 
 #[test]
 fn tracked_flows_are_bounded_and_expire() {
-    let limits = TokenRouterLimits { max_flows: 100 };
+    let limits = TokenRouterLimits { max_flows: 100, ..TokenRouterLimits::default() };
     let mut router = TokenRouter::new(&me(), 7, limits);
     router.set_targets(Millis::ZERO, vec![target("a1", "desk", "east", 1)], Revision(100));
     router.set_routes(Arc::new(routes(1)));
--- a/crates/jasminecart-core/tests/token/slow_targets.rs
+++ b/crates/jasminecart-core/tests/token/slow_targets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::support::{CLAIM, UPLOAD, data, finish, flow, open, router, target};
+use crate::support::{CLAIM, FEED, UPLOAD, data, establish, finish, flow, open, router, target};
 use jasminecart_core::Millis;
 use jasminecart_core::flow::token::TokenRouter;
 use rand::{RngExt as _, SeedableRng as _};
@@ -126,3 +126,19 @@
         "no upload left an overloaded data centre"
     );
 }
+
+/// Guards against the pause between two requests being taken for the latency of the first. A client does not
+/// acknowledge a response of one packet before its next request.
+#[test]
+fn a_request_that_acknowledges_a_response_starts_anew() {
+    let mut router = router([target("a", "desk", "east", 1)]);
+    let feed = flow(1, FEED);
+    let name = establish(&mut router, Millis(100), feed);
+    router.on_segment(Millis(110), &data(feed, &name, 101, 1, 200));
+    router.on_segment(Millis(1_100), &data(feed, &name, 301, 901, 200));
+    assert_eq!(router.take_completed_request(), None, "the latency of the first is not known");
+    router.on_segment(Millis(1_130), &data(feed, &name, 501, 2_901, 0));
+    let completed = router.take_completed_request().expect("the second request is complete");
+    assert_eq!(completed.latency, Millis(30));
+    assert_eq!(completed.bytes, 2_000);
+}
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -1,7 +1,8 @@
 //! Log lines about routing decisions and changes of targets.
 
 use jasminecart_core::flow::token::{
-    ClientSegment, CompletedRequest, Decision, DropCause, FlowId, ResetCause, SuspicionChange,
+    ClientSegment, CompletedRequest, Decision, DropCause, FlowId, OverloadChange, ResetCause,
+    SuspicionChange,
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
@@ -132,6 +133,17 @@
     );
 }
 
+/// Logs that a service became overloaded or recovered, which happens at most a few times a second.
+pub(crate) fn overload_changed(change: &OverloadChange) {
+    info!(
+        event = "service-overload", service = change.service.as_str(),
+        overloaded = change.overloaded,
+        latency_percent_of_objective = (change.latency_ratio * 100.0) as u64,
+        limit = change.limit as u64;
+        "a service became overloaded, so that new flows beyond the limit are refused, or recovered"
+    );
+}
+
 /// The age and revision of the view on which a decision was based.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ViewVersion {
@@ -164,6 +176,7 @@
         ResetCause::NoTarget => "no-target",
         ResetCause::TargetGone => "target-gone",
         ResetCause::TargetSilent => "target-silent",
+        ResetCause::Overloaded => "overloaded",
     }
 }
 
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -322,9 +322,11 @@
 
     pub(crate) fn tick(&mut self, now: Millis) {
         self.router.tick(now);
+        self.router.take_overload_changes().iter().for_each(events::overload_changed);
         let metrics = &self.shared.metrics;
         metrics.flows.set(self.router.tracked_flows() as i64);
         metrics.suspects.set(self.router.suspects() as i64);
+        metrics.overloaded_services.set(self.router.overloaded_services() as i64);
         metrics.targets.set(self.router.targets().usable_count() as i64);
         metrics.directory_age_ms.set(self.shared.readiness.age(now).get() as i64);
     }
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -49,6 +49,7 @@
     pub(crate) flows: Gauge,
     pub(crate) targets: Gauge,
     pub(crate) suspects: Gauge,
+    pub(crate) overloaded_services: Gauge,
     pub(crate) refusals: Counter,
     pub(crate) directory_calls: Counter,
     pub(crate) directory_failures: Counter,
@@ -103,6 +104,10 @@
             flows: register!(flows, "Open flows observed by this VM"),
             targets: register!(targets, "Targets that take new flows"),
             suspects: register!(suspects, "Targets suspected of not answering"),
+            overloaded_services: register!(
+                overloaded_services,
+                "Services to which new flows are refused, because their targets are overloaded"
+            ),
             refusals: register!(refusals, "Answers so short that a target probably refused"),
             directory_calls: register!(directory_calls, "Calls to the directory"),
             directory_failures: register!(directory_failures, "Failed calls to the directory"),
