Keep early packets for 600 ms and 256 of them

Cause: packets that arrive before the first routes and targets were dropped after 200 ms, since clients retransmit then. A client that waits since before the restart repeats its request only 1.6 s later, past its deadline. Small VMs have their state 140 to 500 ms after their start.

Change: a Backlog of its own, tested without sockets; 600 ms, 256 packets.

--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -1,6 +1,5 @@
 //! Forwards packets of clients to targets by the decisions of the token router.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -16,6 +15,7 @@
 use log::{info, warn};
 use tokio::net::UdpSocket;
 
+use crate::backlog::Backlog;
 use crate::edges::{Changes, Encapsulation, Snapshot};
 use crate::events::{self, Events, ViewVersion};
 use crate::metrics::{CauseLabel, RouteLabel};
@@ -27,13 +27,6 @@
 /// The maximum number of packets handled before timers and updates are polled.
 const BATCH: usize = 64;
 
-/// The maximum time that a packet waits for the first routes and targets. Its client retransmits after 200 ms,
-/// so that forwarding an older one only doubles the work.
-const MAX_BACKLOG_AGE: Millis = Millis(200);
-/// The maximum number of packets that wait for the first routes and targets: about 100 ms of traffic of the
-/// busiest VM.
-const MAX_BACKLOG: usize = 128;
-
 /// The packet socket with the router that decides where its packets go.
 pub(crate) struct Forwarder<E> {
     socket: UdpSocket,
@@ -42,8 +35,7 @@
     shared: Rc<Shared>,
     events: Events,
     revision: Revision,
-    /// Packets that arrived before the first routes and targets, with their time of arrival.
-    backlog: VecDeque<(Millis, Box<[u8]>)>,
+    backlog: Backlog,
     datagram: Box<[u8]>,
     out: Vec<u8>,
 }
@@ -62,7 +54,7 @@
             shared,
             events: Events::default(),
             revision: Revision::default(),
-            backlog: VecDeque::new(),
+            backlog: Backlog::default(),
             datagram: vec![0; MAX_DATAGRAM].into(),
             out: Vec::with_capacity(MAX_DATAGRAM),
         }
@@ -99,22 +91,20 @@
         if self.router.is_ready() {
             self.on_packet(now, datagram);
         } else {
-            if self.backlog.len() >= MAX_BACKLOG {
-                self.backlog.pop_front();
+            if self.backlog.push(now, datagram) {
                 self.count_drop(events::drop_label(DropCause::NotReady));
             }
-            self.backlog.push_back((now, datagram.into()));
         }
     }
 
     /// Handles the packets that waited for the first routes and targets, and drops those that are too old.
     fn process_backlog(&mut self, now: Millis) {
-        for (arrived_at, datagram) in std::mem::take(&mut self.backlog) {
-            if now.since(arrived_at) <= MAX_BACKLOG_AGE {
-                self.on_packet(now, &datagram);
-            } else {
-                self.count_drop(events::drop_label(DropCause::NotReady));
-            }
+        let (recent, dropped) = self.backlog.take(now);
+        for _ in 0..dropped {
+            self.count_drop(events::drop_label(DropCause::NotReady));
+        }
+        for datagram in recent {
+            self.on_packet(now, &datagram);
         }
     }
 
