--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -17,8 +17,8 @@
 /// it no flow is refused, whatever is in progress.
 const OVERLOAD_LATENCY: f64 = 0.5;
 /// The greatest latency that counts, as a fraction of the objective. The end of a flow that was idle
-/// for a while looks like that of a slow request.
-const MAX_LATENCY_RATIO: f64 = 2.0;
+/// for a while looks like that of a slow request. Full queues delay requests by less.
+const MAX_LATENCY_RATIO: f64 = 4.0;
 /// The weight of a new sample in the mean latency of a service.
 const LATENCY_WEIGHT: f64 = 0.1;
 /// The time constant of the mean throughput.
@@ -142,7 +142,10 @@
         objective: Millis,
     ) {
         let Some(load) = self.services.get_mut(service) else { return };
-        let ratio = (latency.get() as f64 / objective.get().max(1) as f64).min(MAX_LATENCY_RATIO);
+        let ratio = latency.get() as f64 / objective.get().max(1) as f64;
+        if ratio > MAX_LATENCY_RATIO {
+            return;
+        }
         load.latency_ratio += LATENCY_WEIGHT * (ratio - load.latency_ratio);
         load.sampled_at = now;
         if load.latency_ratio <= OVERLOAD_LATENCY {
--- a/crates/jasminecart-core/tests/token/overload.rs
+++ b/crates/jasminecart-core/tests/token/overload.rs
@@ -118,3 +118,20 @@
     let now = serve(&mut router, now, 12, OBJECTIVE);
     assert_eq!(opened_before_refusal(&mut router, now, FEED), 200);
 }
+
+/// Guards against idle feeds that look like overload: the response to their only request had one packet, which the
+/// client acknowledged with the end of the flow seconds later.
+#[test]
+fn ends_of_idle_flows_are_no_overload() {
+    let mut router = vm();
+    let now = serve(&mut router, SETTLED, 100, OBJECTIVE / 4);
+    for port in 0..20 {
+        let feed = flow(20_000 + port, FEED);
+        let target = establish(&mut router, now, feed);
+        router.on_segment(now + Millis(5), &data(feed, &target, 101, 1, 200));
+        router.on_segment(now + Millis(5_000 + 10 * u64::from(port)), &finish(feed, &target, 600));
+    }
+    router.tick(now + Millis(5_100));
+    assert_eq!(router.overloaded_services(), 0);
+    assert_eq!(opened_before_refusal(&mut router, now + Millis(5_500), FEED), 200);
+}
