Show a copied response that reaches the next caller, and a restart from an old view

Cause: operators of similar systems report answers that reach the next caller, and servers that are in use again after a restart.

Change: two tests. A copy that arrives when an HTTP/1.1 connection carries the next request is passed on: KNOWN-RED 7, not mended. A VM that loads from a peer with an old view reads the store at once and drops the target that left.

--- a/crates/jasminecart-core/tests/token/sharing.rs
+++ b/crates/jasminecart-core/tests/token/sharing.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use crate::support::{FEED, UPLOAD, routes, target};
-use jasminecart_core::process::{Member, MemberState, Members, PeerAddress};
+use jasminecart_core::process::{Introduction, Member, MemberState, Members, PeerAddress, VmHint};
 use jasminecart_core::version::{
     Revision, Routes, SharedChanges, Sharing, SharingLimits, SharingMessage, SharingStep, Source,
     TargetChange, TargetList, TransferFailure, View,
@@ -545,6 +545,46 @@
     centre.assert_up_to_date();
 }
 
+/// Guards against a target that has gone being used again after a restart: the VM that starts loads from a peer that
+/// was paused while the target left. The age of the peer's view tells the VM to read the store at once.
+#[test]
+fn a_vm_that_loads_from_a_peer_with_an_old_view_reads_the_store() {
+    let mut centre = DataCentre::new(3);
+    centre.write(target("a2", "desk", "east", 0));
+    centre.run(Millis(4_000));
+    let ids: Vec<VmId> = centre.vms.keys().cloned().collect();
+    centre.vms.get_mut(&ids[0]).expect("a VM").running = false;
+    centre.delete("a1");
+    centre.run(Millis(20_000));
+    // The restarted VM hears of the paused one only, which has just resumed.
+    let limits = SharingLimits { store_delay: Millis(700), ..SharingLimits::default() };
+    let restarted = centre.vms.get_mut(&ids[1]).expect("a VM");
+    restarted.sharing = Sharing::new(ids[1].clone(), limits);
+    (restarted.targets, restarted.routes) = (TargetList::default(), None);
+    restarted.watch_ends = None;
+    centre.vms.get_mut(&ids[2]).expect("a VM").running = false;
+    centre.vms.get_mut(&ids[0]).expect("a VM").running = true;
+    let now = centre.now;
+    let introduction = introduction(&ids[0]);
+    let restarted = centre.vms.get_mut(&ids[1]).expect("a VM");
+    assert_eq!(restarted.sharing.source(now), Source::Starting);
+    let steps = restarted.sharing.on_introductions(now, [&introduction]);
+    centre.execute(&ids[1], steps);
+    let restarted = centre.vms.get_mut(&ids[1]).expect("a VM");
+    assert_eq!(restarted.targets.usable_count(), 2, "the old view was not loaded");
+    assert!(restarted.sharing.age(now) >= Millis(18_000), "the view counts as recent");
+    assert_eq!(restarted.sharing.source(now), Source::Fallback);
+    centre.run(TICK);
+    let usable = centre.vms[&ids[1]].targets.usable_count();
+    assert_eq!(usable, 1, "a target that has left is in use again");
+}
+
+fn introduction(vm: &VmId) -> Introduction {
+    let address: SocketAddr = "10.0.0.1:7000".parse().expect("an address");
+    let address = PeerAddress { control: address, packets: address, requests: address };
+    Introduction { hint: VmHint { vm: vm.clone(), address, leaving: false }, size: 1, loaded: true }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(24))]
 
--- a/crates/jasminecart-entry/tests/requests.rs
+++ b/crates/jasminecart-entry/tests/requests.rs
@@ -199,6 +199,25 @@
     }
 }
 
+// Guards against passing a second copy of a response to the next caller (I3): the copy arrives when the connection is in
+// use again. HTTP/1.1 responses carry nothing that tells whose they are.
+#[tokio::test]
+#[ignore = "KNOWN-RED.txt, entry 7"]
+async fn a_copy_of_a_response_on_a_connection_in_use_is_discarded() {
+    const SCRIPTS: [Script; 2] = [
+        Script::Send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst"),
+        Script::Send(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirstHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nown"),
+    ];
+    let target = Target::start(&SCRIPTS).await;
+    let platform = Platform::start(1, &document("", &[target.address])).await;
+    let entry = entry("vm-1", &platform, "").await;
+    let address = entry.addresses().requests;
+    let response = exchange(address, request("GET", "/first", "")).await.unwrap();
+    assert_eq!(&response.body[..], b"first");
+    let response = exchange(address, request("GET", "/second", "")).await.unwrap();
+    assert_ne!(&response.body[..], b"first", "the second caller got the response to the first");
+}
+
 // Guards against continuing an attempt after the client has disconnected, before and after the head
 // of the response.
 #[test_case(Script::SendAndHang(b""); "before the head")]
