Split the state of outages and of a VM's start from Sharing, share the accept loop

Change: StoreOutage, FirstState and Transfers hold their fields and rules; one accept for all listeners. Behaviour is meant to be the same.

--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -9,7 +9,9 @@
 //! `docs/platform.md`, "Readers", gives the figures.
 
 mod delta;
+mod first_state;
 mod message;
+mod outage;
 mod parts;
 mod transfers;
 
@@ -18,10 +20,12 @@
 use std::sync::Arc;
 
 use self::delta::RouteHistory;
+use self::first_state::FirstState;
 pub use self::message::{
     SharedChanges, SharedItem, SharingCounters, SharingLimits, SharingMessage, SharingStep, Source,
     TransferFailure,
 };
+use self::outage::StoreOutage;
 use self::parts::Assembly;
 use self::transfers::{FIRST_REVISION, Transfers};
 use super::{Revision, Routes, TargetList};
@@ -29,10 +33,6 @@
 use crate::process::{Introduction, Member, Members, rendezvous};
 use crate::time::Millis;
 
-/// How long a VM reads the store for its first routes and targets before it also accepts them from a
-/// peer. A store in order responds within a tenth of this.
-const FIRST_READ_PATIENCE: Millis = Millis(300);
-
 /// This VM's view of targets and routes, borrowed from the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
@@ -50,35 +50,20 @@
     peers: Vec<VmId>,
     /// The members that may become readers, ordered by rank.
     ranked: Vec<VmId>,
-    /// The members that are excluded from reading because they cannot reach the store, and until
-    /// when.
-    excluded_until: BTreeMap<VmId, Millis>,
-    /// When a member last reported that it cannot reach the store.
-    outage_reported_at: Option<Millis>,
-    /// Whether the store is out for the whole data centre, so that only a few members call it.
-    outage: bool,
+    outage: StoreOutage,
     is_reader: bool,
     is_standby: bool,
     /// The revision up to which this VM's view is complete.
     position: Revision,
-    /// When this VM first asked for its source.
-    started_at: Option<Millis>,
-    /// Whether this VM reads the store because no peer sent the first routes and targets in time.
-    reads_first_state: bool,
-    /// Whether a call to the store failed before this VM had routes and targets.
-    store_failed: bool,
+    first_state: FirstState,
     /// The revision up to which a peer offered changes that are too large for datagrams.
     offered_upto: Revision,
     /// Until when this VM waits for a peer to send them.
     offer_expires_at: Millis,
-    /// When this VM received its first state from a peer.
-    joined_at: Option<Millis>,
     /// Whether this VM needs the full state, because its peers may have purged tombstones that it
     /// has not received.
     needs_full_state: bool,
     transfers: Transfers,
-    /// The other VMs that are known to have started without routes and targets, with their sizes.
-    starting: BTreeMap<VmId, u32>,
     /// The position at which this VM's view last changed.
     changed_at: Revision,
     /// When the store last confirmed this VM's view, directly or through a peer.
@@ -100,21 +85,15 @@
             limits,
             peers: Vec::new(),
             ranked: Vec::new(),
-            excluded_until: BTreeMap::new(),
-            outage_reported_at: None,
-            outage: false,
+            outage: StoreOutage::default(),
             is_reader: true,
             is_standby: false,
             position: Revision(0),
-            started_at: None,
-            reads_first_state: false,
-            store_failed: false,
+            first_state: FirstState::default(),
             offered_upto: Revision(0),
             offer_expires_at: Millis::ZERO,
-            joined_at: None,
             needs_full_state: false,
             transfers: Transfers::default(),
-            starting: BTreeMap::new(),
             changed_at: Revision(0),
             confirmed_at: None,
             peer_has_confirmed: false,
@@ -149,15 +128,17 @@
     /// Returns where this VM has to obtain changes from, and counts a switch to reading the store
     /// itself.
     pub fn source(&mut self, now: Millis) -> Source {
+        self.outage.update(now, &self.ranked, &self.limits);
         self.update_rank(now);
-        self.update_outage(now);
         let fallback_after =
             if self.is_standby { self.limits.standby_after } else { self.limits.fallback_after };
-        let stale = self.age(now) >= fallback_after && (!self.outage || self.probes_store());
+        let stale =
+            self.age(now) >= fallback_after && (!self.outage.is_active() || self.probes_store());
         let source = if self.is_reader {
             Source::Reader
         } else if self.position == Revision(0) {
-            self.first_source(now)
+            let fetches = self.transfers.is_active();
+            self.first_state.source(now, &self.me, &self.limits, fetches)
         } else if self.misses_offer(now) || !self.peer_has_confirmed || stale {
             Source::Fallback
         } else {
@@ -170,29 +151,6 @@
         source
     }
 
-    /// Returns where this VM obtains its first routes and targets from. Once it reads the store it
-    /// goes on, because a read that was abandoned would have to start over.
-    fn first_source(&mut self, now: Millis) -> Source {
-        let started_at = *self.started_at.get_or_insert(now);
-        let age = now.since(started_at);
-        let leaves_it_to_others = self.limits.store_delay > Millis::ZERO
-            && age < self.limits.store_delay + self.limits.first_reader_time
-            && !self.is_first_reader();
-        let waits =
-            age < self.limits.store_delay || self.transfers.is_active() || leaves_it_to_others;
-        self.reads_first_state |= !waits || self.store_failed;
-        if self.reads_first_state { Source::Fallback } else { Source::Starting }
-    }
-
-    /// Returns whether this VM is one of the first, by size, of the VMs that it knows to be starting
-    /// too. Where no VM has a fast link, these read the store for the others.
-    fn is_first_reader(&self) -> bool {
-        let rank = |vm: &VmId, size: u32| Reverse((size.max(1).ilog2(), rendezvous::hash(vm)));
-        let own = rank(&self.me, self.limits.size);
-        let before = self.starting.iter().filter(|(vm, size)| rank(vm, **size) < own);
-        before.count() < self.limits.first_readers
-    }
-
     /// Returns whether no peer sent in time what one of them offered.
     fn misses_offer(&self, now: Millis) -> bool {
         self.position < self.offered_upto && now >= self.offer_expires_at
@@ -201,9 +159,7 @@
     /// Starts a transfer if this VM needs one and a peer can send it.
     fn fetch(&mut self, now: Millis) -> Option<SharingStep> {
         let needed = if self.position == Revision(0) {
-            let started_at = self.started_at.unwrap_or(now);
-            let slow = now.since(started_at) >= FIRST_READ_PATIENCE;
-            !self.reads_first_state || self.store_failed || slow
+            self.first_state.may_fetch(now)
         } else {
             self.needs_full_state || self.position < self.offered_upto
         };
@@ -220,35 +176,13 @@
 
     /// Updates whether this VM is one of the readers, or the next to become one.
     fn update_rank(&mut self, now: Millis) {
-        self.excluded_until.retain(|_, until| now < *until);
-        let mut available = self.ranked.iter().filter(|vm| !self.excluded_until.contains_key(vm));
+        let mut available = self.ranked.iter().filter(|vm| !self.outage.is_excluded(vm));
         let index = available.position(|vm| *vm == self.me);
         let in_rank = index.is_some_and(|index| index < self.limits.readers);
-        let outage = self.has_outage_reports();
-        self.is_reader = in_rank && !outage && !self.is_joining(now);
-        self.is_standby = index == Some(self.limits.readers) && !outage;
-    }
-
-    /// Returns whether so many members cannot reach the store that an outage is likely.
-    fn has_outage_reports(&self) -> bool {
-        let share = self.limits.outage_report_share * self.ranked.len() as f64;
-        let reports = self.excluded_until.keys().filter(|vm| self.ranked.contains(vm)).count();
-        reports >= self.limits.min_outage_reports.max(share as usize)
-    }
-
-    /// Updates whether the store is out for the whole data centre, as far as this VM knows. The
-    /// outage lasts until the store confirms this VM's view, or the reports cease: a VM that hears
-    /// nothing of the other members may be the only one that reaches the store.
-    fn update_outage(&mut self, now: Millis) {
-        let max_age = self.limits.max_report_age;
-        let reported = self.outage_reported_at.is_some_and(|at| now.since(at) < max_age);
-        self.outage = reported && (self.outage || self.has_outage_reports());
-    }
-
-    /// Returns whether this VM received its first state from a peer so recently that it may not know
-    /// all members yet. It would rank first among those that it knows.
-    fn is_joining(&self, now: Millis) -> bool {
-        self.joined_at.is_some_and(|at| now.since(at) < self.limits.join_time)
+        let reported = self.outage.is_reported(&self.ranked, &self.limits);
+        let joining = self.first_state.is_joining(now, &self.limits);
+        self.is_reader = in_rank && !reported && !joining;
+        self.is_standby = index == Some(self.limits.readers) && !reported;
     }
 
     /// Returns whether this VM has to detect the recovery of a failed store for its data centre.
@@ -291,8 +225,8 @@
         }
         self.confirmed_at = Some(now);
         self.needs_full_state = false;
-        self.outage = false;
-        self.excluded_until.remove(&self.me);
+        self.outage.end();
+        self.outage.include(&self.me);
         if changed {
             self.changed_at = self.position;
         }
@@ -311,9 +245,12 @@
     /// Records that a call to the store failed, and reports it to the peers: another member takes
     /// the place of a reader, and after enough reports the others stop to call the store.
     pub fn on_store_failure(&mut self, now: Millis) -> Vec<SharingStep> {
-        self.store_failed |= self.position == Revision(0);
-        let reports = self.is_reader || self.probes_store() || !self.has_outage_reports();
-        self.excluded_until.insert(self.me.clone(), now + self.limits.exclusion);
+        if self.position == Revision(0) {
+            self.first_state.set_store_failed();
+        }
+        let reported = self.outage.is_reported(&self.ranked, &self.limits);
+        let reports = self.is_reader || self.probes_store() || !reported;
+        self.outage.exclude(&self.me, now + self.limits.exclusion);
         let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
         if reports && self.position > Revision(0) {
             steps.extend(self.announce(now));
@@ -336,10 +273,9 @@
             SharingMessage::Ask { after } => self.send_update(now, vec![from.clone()], after, view),
             SharingMessage::Beacon { unchanged_since, revision, age, reachable } => {
                 if reachable {
-                    self.excluded_until.remove(from);
+                    self.outage.include(from);
                 } else {
-                    self.excluded_until.insert(from.clone(), now + self.limits.exclusion);
-                    self.outage_reported_at = Some(now);
+                    self.outage.on_report(now, from, now + self.limits.exclusion);
                 }
                 self.on_beacon(now, from, unchanged_since, revision, age)
             }
@@ -368,10 +304,10 @@
                 continue;
             }
             if introduction.loaded {
-                self.starting.remove(vm);
+                self.first_state.remove_starting(vm);
                 self.transfers.add_source(vm, Some(introduction.size), FIRST_REVISION);
             } else if self.position == Revision(0) {
-                self.starting.insert(vm.clone(), introduction.size);
+                self.first_state.add_starting(vm, introduction.size);
             }
         }
         self.fetch(now).into_iter().collect()
@@ -460,7 +396,7 @@
     /// if one is needed.
     pub fn tick(&mut self, now: Millis) -> Vec<SharingStep> {
         let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
-        let reports = self.excluded_until.contains_key(&self.me) && self.probes_store();
+        let reports = self.outage.is_excluded(&self.me) && self.probes_store();
         let beacons = (self.is_reader || reports) && self.position > Revision(0);
         if beacons && now >= self.beacon_at {
             steps.extend(self.announce(now));
@@ -475,7 +411,7 @@
             unchanged_since: self.changed_at,
             revision: self.position,
             age: self.age(now),
-            reachable: !self.excluded_until.contains_key(&self.me),
+            reachable: !self.outage.is_excluded(&self.me),
         };
         vec![self.send(self.peers.clone(), beacon)]
     }
@@ -513,7 +449,9 @@
     /// Records that a peer confirmed this VM's view.
     fn confirm(&mut self, now: Millis, age: Millis) {
         self.peer_has_confirmed = true;
-        self.outage &= age >= self.limits.standby_after;
+        if age < self.limits.standby_after {
+            self.outage.end();
+        }
         self.confirmed_at = self.confirmed_at.max(Some(now - age));
     }
 
@@ -552,8 +490,7 @@
         let routes = routes.filter(is_newer);
         self.counters.applied += 1;
         if self.position == Revision(0) {
-            self.joined_at = Some(now);
-            self.starting.clear();
+            self.first_state.set_joined(now);
         }
         self.changed_at = upto;
         let targets = items.into_iter().filter_map(|item| match item {
--- a/crates/jasminecart-forward/src/http.rs
+++ b/crates/jasminecart-forward/src/http.rs
@@ -12,9 +12,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::warn;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::accept::accept;
 use crate::errors::{Error, Result};
 use crate::process::Shared;
 
@@ -22,9 +22,6 @@
 const MAX_CONNECTIONS: usize = 16;
 /// The maximum lifetime of a connection. Probes come every 500 ms.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(30);
-/// The pause after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The content that a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Page {
@@ -42,25 +39,14 @@
     };
     let listener = TcpListener::bind(address).await;
     let failed = |source| Error::Listen { listener: name, address: address.into(), source };
-    tokio::task::spawn_local(accept(listener.map_err(failed)?, page, shared));
+    tokio::task::spawn_local(accept_all(listener.map_err(failed)?, page, shared));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, page: Page, shared: Rc<Shared>) {
+async fn accept_all(listener: TcpListener, page: Page, shared: Rc<Shared>) {
     let open = Rc::new(());
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                let cause = error.to_string();
-                warn!(
-                    event = "accept-failed", cause = cause.as_str();
-                    "accepting a connection failed; retrying after a pause"
-                );
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         if Rc::strong_count(&open) > MAX_CONNECTIONS {
             continue;
         }
--- a/crates/jasminecart-forward/src/lib.rs
+++ b/crates/jasminecart-forward/src/lib.rs
@@ -5,6 +5,7 @@
 //! metrics and logs. The packet format and the client of the platform's store are traits ([`edges`]) that are
 //! implemented outside of this crate. `docs/platform.md` describes the process.
 
+mod accept;
 pub mod backlog;
 mod daemon;
 pub mod edges;
--- a/crates/jasminecart-forward/src/streams.rs
+++ b/crates/jasminecart-forward/src/streams.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 
 use jasminecart_core::names::VmId;
-use log::warn;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::timeout;
 
+use crate::accept::accept;
 use crate::errors::{Error, Result};
 
 /// The longest accepted request, which holds little more than the sender.
@@ -34,8 +34,6 @@
 const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
 /// The longest time of a whole stream. A link of 10 Mbit/s carries 1 MB in less than a second.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(3);
-/// The pause after a failed accept, which usually means that file descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// The size of one read.
 const READ_BYTES: usize = 16 << 10;
 
@@ -68,27 +66,16 @@
 ) -> Result<()> {
     let listener = TcpListener::bind(address).await;
     let failed = |source| Error::Listen { listener: "peer", address: address.into(), source };
-    tokio::task::spawn_local(accept(listener.map_err(failed)?, link_megabits, tx));
+    tokio::task::spawn_local(accept_streams(listener.map_err(failed)?, link_megabits, tx));
     Ok(())
 }
 
-async fn accept(listener: TcpListener, link_megabits: u32, tx: mpsc::Sender<StreamEvent>) {
+async fn accept_streams(listener: TcpListener, link_megabits: u32, tx: mpsc::Sender<StreamEvent>) {
     let streams = (link_megabits / MEGABITS_PER_STREAM).max(1) as usize;
     let permits = Rc::new(Semaphore::new(streams));
     let waiting = Rc::new(Semaphore::new(streams * (1 + MAX_WAITING_PER_STREAM)));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                let cause = error.to_string();
-                warn!(
-                    event = "accept-failed", cause = cause.as_str();
-                    "accepting a stream of a peer failed; retrying after a pause"
-                );
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let (permits, waiting, tx) = (permits.clone(), waiting.clone(), tx.clone());
         tokio::task::spawn_local(async move {
             // Errors are not logged: the peer notices that it got no response, and asks another.
