--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -93,7 +93,7 @@
     }
 
     /// Records the priority of a request, and returns whether it is the highest of the service.
-    fn is_urgent(&mut self, now: Millis, priority: u8) -> bool {
+    fn observe_priority(&mut self, now: Millis, priority: u8) -> bool {
         if priority <= self.priority || now.since(self.priority_seen_at) > PRIORITY_MEMORY {
             (self.priority, self.priority_seen_at) = (priority, now);
         }
@@ -128,7 +128,7 @@
             }
         };
         load.kept_latency_sum += KEPT_LATENCY * objective.get() as f64;
-        load.is_urgent(now, priority);
+        load.observe_priority(now, priority);
     }
 
     /// Records the latency of the first request of a flow. The latencies of later ones say less
@@ -167,7 +167,7 @@
     ) -> bool {
         let settled = self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE);
         let Some(load) = self.services.get_mut(service) else { return true };
-        let urgent = load.is_urgent(now, priority);
+        let urgent = load.observe_priority(now, priority);
         if !settled || !load.is_overloaded(now) {
             return true;
         }
--- a/crates/jasminecart-forward/src/http.rs
+++ b/crates/jasminecart-forward/src/http.rs
@@ -22,6 +22,7 @@
 const MAX_CONNECTIONS: usize = 16;
 /// The maximum lifetime of a connection. Probes come every 500 ms.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(30);
+
 /// The content that a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Page {
