Log the store's epoch and what is ignored as outdated

Change: the epoch is read from each response of the store. Events store-read, store-restored and routes-outdated, target-changed with change=outdated, the metrics outdated{kind} and store_epoch.

--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -122,7 +122,8 @@
         self.list.set_confirmed(at);
     }
 
-    /// Replaces the whole list of targets with one that was read at `revision`, and returns what changed.
+    /// Replaces the whole list of targets with one that was read at `revision`. Returns what changed, and which
+    /// records were outdated.
     pub fn set_targets(
         &mut self,
         now: Millis,
@@ -130,7 +131,7 @@
         revision: Revision,
     ) -> Vec<(Name, Effect)> {
         let effects = self.list.replace(now, records, revision);
-        for (name, effect) in &effects {
+        for (name, effect) in effects.iter().filter(|(_, effect)| effect.is_change()) {
             self.update_target(now, name, *effect);
         }
         effects
@@ -140,7 +141,7 @@
     pub fn change_target(&mut self, now: Millis, change: TargetChange) -> Effect {
         let name = change.name().clone();
         let effect = self.list.apply(now, change);
-        if effect != Effect::Ignored {
+        if effect.is_change() {
             self.update_target(now, &name, effect);
         }
         effect
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -145,10 +145,22 @@
     Restarted,
     /// Its record was deleted.
     Removed,
-    /// The change is outdated, or it changes nothing.
+    /// The change is older than the known state of the target, and was not applied.
+    Outdated,
+    /// The change changes nothing.
     Ignored,
 }
 
+impl Effect {
+    /// Returns whether the list changed.
+    pub fn is_change(self) -> bool {
+        match self {
+            Effect::Added | Effect::Changed | Effect::Restarted | Effect::Removed => true,
+            Effect::Outdated | Effect::Ignored => false,
+        }
+    }
+}
+
 /// The targets that this VM knows. Records are monotonic: an older one never replaces a newer one.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
@@ -195,7 +207,7 @@
 
     /// Replaces the list by a snapshot that was read at `revision`. Targets that are missing in the
     /// snapshot are removed, unless their records are newer. Returns the effect on each target that
-    /// changed.
+    /// changed, and the records that are outdated.
     pub fn replace(
         &mut self,
         now: Millis,
@@ -237,7 +249,7 @@
             return Effect::Added;
         };
         if listed.record.revision < known.record.revision {
-            return Effect::Ignored;
+            return Effect::Outdated;
         }
         if listed.record.revision == known.record.revision
             && known.registration == Registration::Registered
@@ -252,7 +264,10 @@
     fn delete(&mut self, now: Millis, name: &Name, revision: Revision, expired: bool) -> Effect {
         let is_expiry = expired || now < self.grace_until;
         let Some(known) = self.targets.get_mut(name) else { return Effect::Ignored };
-        if revision < known.record.revision || known.registration != Registration::Registered {
+        if revision < known.record.revision {
+            return Effect::Outdated;
+        }
+        if known.registration != Registration::Registered {
             return Effect::Ignored;
         }
         known.record.revision = revision;
--- a/crates/jasminecart-forward/src/edges.rs
+++ b/crates/jasminecart-forward/src/edges.rs
@@ -51,6 +51,8 @@
     pub targets: Vec<TargetRecord>,
     /// The revision from which a watch continues.
     pub revision: Revision,
+    /// The store's epoch, which rises each time that the store is restored from a copy.
+    pub epoch: u64,
     /// How many entries were refused.
     pub refused: u64,
 }
@@ -64,6 +66,8 @@
     pub targets: Vec<TargetChange>,
     /// The revision from which the next watch continues.
     pub revision: Revision,
+    /// The store's epoch, as in a [`Snapshot`].
+    pub epoch: u64,
     /// How many entries were refused.
     pub refused: u64,
 }
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -6,10 +6,10 @@
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Effect, Revision};
-use log::{debug, info};
+use jasminecart_core::version::{Effect, Revision, Routes};
+use log::{debug, info, warn};
 
-use crate::edges::SegmentError;
+use crate::edges::{SegmentError, Snapshot};
 use crate::keys::VerifyError;
 use crate::metrics::Metrics;
 
@@ -133,6 +133,27 @@
     );
 }
 
+/// Logs that routes were not adopted, because they are older than those of this VM.
+pub(crate) fn routes_outdated(routes: &Routes, current: &Routes, source: &str) {
+    warn!(
+        event = "routes-outdated", version = routes.version, revision = routes.revision.0,
+        current_version = current.version, current_revision = current.revision.0,
+        source = source;
+        "routes that are older than the current ones were not adopted"
+    );
+}
+
+/// Logs a full read of the store, which happens at the start and when its history is lost.
+pub(crate) fn store_read(snapshot: &Snapshot) {
+    let routes = snapshot.routes.as_ref();
+    info!(
+        event = "store-read", epoch = snapshot.epoch, revision = snapshot.revision.0,
+        targets = snapshot.targets.len(), version = routes.map_or(0, |routes| routes.version),
+        routes_revision = routes.map_or(0, |routes| routes.revision.0);
+        "the directory was read in full"
+    );
+}
+
 /// Logs that a service became overloaded or recovered, which happens at most a few times a second.
 pub(crate) fn overload_changed(change: &OverloadChange) {
     info!(
@@ -151,13 +172,14 @@
     pub(crate) revision: Revision,
 }
 
-/// Logs a change to one target.
+/// Logs a change to one target, or that it was outdated.
 pub(crate) fn target_changed(name: &Name, effect: Effect, revision: Revision, source: &str) {
     let change = match effect {
         Effect::Added => "added",
         Effect::Changed => "changed",
         Effect::Restarted => "restarted",
         Effect::Removed => "removed",
+        Effect::Outdated => "outdated",
         Effect::Ignored => return,
     };
     info!(
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -8,6 +8,7 @@
 use jasminecart_core::flow::token::{
     ClientSegment, Destination, DropCause, ResetCause, SegmentKind, TokenRouter, Verdict,
 };
+use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
     Effect, Revision, Routes, SharedChanges, TargetChange, TargetRecord,
@@ -18,7 +19,7 @@
 use crate::backlog::Backlog;
 use crate::edges::{Changes, Encapsulation, Snapshot};
 use crate::events::{self, Events, ViewVersion};
-use crate::metrics::{CauseLabel, RouteLabel};
+use crate::metrics::{CauseLabel, KindLabel, RouteLabel};
 use crate::process::Shared;
 
 /// The size of the receive buffer. Packets carry up to 1,200 bytes of data, so that a longer datagram is
@@ -202,6 +203,8 @@
     /// Applies a full read of the store. Returns whether anything changed.
     pub(crate) fn apply_snapshot(&mut self, now: Millis, snapshot: Snapshot) -> bool {
         self.shared.metrics.refused_entries.inc_by(snapshot.refused);
+        self.set_epoch(snapshot.epoch, snapshot.revision);
+        events::store_read(&snapshot);
         let replaced = self.replace_targets(now, snapshot.targets, snapshot.revision, "store");
         let adopted =
             snapshot.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
@@ -229,15 +232,16 @@
             );
         } else {
             for (name, effect) in &effects {
-                events::target_changed(name, *effect, revision, source);
+                self.report_target(name, *effect, revision, source);
             }
         }
-        !effects.is_empty()
+        effects.iter().any(|(_, effect)| effect.is_change())
     }
 
     /// Applies changes from a watch of the store. Returns whether anything changed.
     pub(crate) fn apply_changes(&mut self, now: Millis, changes: Changes) -> bool {
         self.shared.metrics.refused_entries.inc_by(changes.refused);
+        self.set_epoch(changes.epoch, changes.revision);
         let applied = self.apply_targets(now, changes.targets, changes.revision, "store");
         let adopted =
             changes.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
@@ -282,16 +286,40 @@
         for change in changes {
             let name = change.name().clone();
             let effect = self.router.change_target(now, change);
-            applied |= effect != Effect::Ignored;
-            events::target_changed(&name, effect, revision, source);
+            applied |= effect.is_change();
+            self.report_target(&name, effect, revision, source);
         }
         applied
     }
 
+    fn report_target(&self, name: &Name, effect: Effect, revision: Revision, source: &str) {
+        if effect == Effect::Outdated {
+            self.shared.metrics.outdated.get_or_create(&KindLabel { kind: "target" }).inc();
+        }
+        events::target_changed(name, effect, revision, source);
+    }
+
+    /// Records the store's epoch, and logs when it changes.
+    fn set_epoch(&self, epoch: u64, revision: Revision) {
+        let previous = self.shared.metrics.store_epoch.set(epoch as i64);
+        if previous != epoch as i64 && self.revision > Revision(0) {
+            warn!(
+                event = "store-restored", epoch = epoch, previous_epoch = previous,
+                revision = revision.0, current_revision = self.revision.0;
+                "the directory was restored from a copy"
+            );
+        }
+    }
+
     fn adopt_routes(&mut self, routes: Arc<Routes>, source: &str) -> bool {
         let (version, revision, count) =
             (routes.version, routes.revision.0, routes.by_address.len());
-        let adopted = self.router.set_routes(routes);
+        let known = self.router.routes().cloned();
+        let adopted = self.router.set_routes(routes.clone());
+        if let Some(known) = known.filter(|known| !adopted && routes.revision < known.revision) {
+            self.shared.metrics.outdated.get_or_create(&KindLabel { kind: "routes" }).inc();
+            events::routes_outdated(&routes, &known, source);
+        }
         if adopted {
             info!(
                 event = "routes-adopted", version = version, revision = revision, routes = count,
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -27,6 +27,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// The label of the metric that counts outdated entries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    pub(crate) kind: &'static str,
+}
+
 /// The label of the metric that tells where routes and targets come from.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct SourceLabel {
@@ -55,6 +61,8 @@
     pub(crate) directory_failures: Counter,
     pub(crate) directory_age_ms: Gauge,
     pub(crate) refused_entries: Counter,
+    pub(crate) outdated: Family<KindLabel, Counter>,
+    pub(crate) store_epoch: Gauge,
     pub(crate) peer_sent: Counter,
     pub(crate) peer_sent_bytes: Counter,
     pub(crate) peer_send_failures: Counter,
@@ -116,6 +124,14 @@
                 "Milliseconds since routes and targets were last confirmed"
             ),
             refused_entries: register!(refused_entries, "Directory entries that can't be used"),
+            outdated: register!(
+                outdated,
+                "Routes and targets not applied because this VM has newer ones, by kind"
+            ),
+            store_epoch: register!(
+                store_epoch,
+                "How often the directory has been restored from a copy, as it reports"
+            ),
             peer_sent: register!(peer_sent, "Datagrams sent to other VMs"),
             peer_sent_bytes: register!(peer_sent_bytes, "Bytes sent to other VMs"),
             peer_send_failures: register!(
