--- a/crates/jasminecart-bench/src/overload/sim.rs
+++ b/crates/jasminecart-bench/src/overload/sim.rs
@@ -14,7 +14,7 @@
 };
 use jasminecart_core::hashing::HashMap;
 use jasminecart_core::version::{
-    Repeatable, Revision, RouteRule, Routes, TargetChange, TargetRecord, TargetState,
+    Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetRecord, TargetState,
 };
 use jasminecart_core::{Millis, Name, VmId};
 use rand::{RngExt, SeedableRng};
@@ -123,7 +123,8 @@
         state: TargetState::Active,
         cold_for: Millis::ZERO,
         started_at: None,
-        revision: Revision(revision),
+        sequence: 1,
+        revision: StoreRevision::new(0, revision),
     }
 }
 
@@ -141,7 +142,7 @@
     let feed = rule("feed", Repeatable::Always, FEED_OBJECTIVE, 2);
     let claim = rule("claim", Repeatable::Never, CLAIM_OBJECTIVE, 1);
     Routes {
-        revision: Revision(1),
+        revision: StoreRevision::new(0, 1),
         version: 1,
         by_address: [(FEED, feed), (CLAIM, claim)].into_iter().collect(),
         idle_timeout: Millis::from_secs(12),
@@ -165,7 +166,7 @@
                 TokenRouterLimits { refuses_under_overload: refuses, ..Default::default() };
             let mut router = TokenRouter::new(&me, seed * 100 + vm as u64, limits);
             let records = (0..TARGETS).map(|target| record(target, 1)).collect();
-            router.set_targets(Millis::ZERO, records, Revision(1));
+            router.set_targets(Millis::ZERO, records, StoreRevision::new(0, 1));
             router.set_routes(routes.clone());
             router
         });
@@ -447,7 +448,11 @@
             let revision = 2 + self.now;
             let change = if lost {
                 let name = target_name(target);
-                TargetChange::Deleted { name, revision: Revision(revision), lapsed: false }
+                TargetChange::Deleted {
+                    name,
+                    revision: StoreRevision::new(0, revision),
+                    lapsed: false,
+                }
             } else {
                 TargetChange::Written(record(target, revision))
             };
--- a/crates/jasminecart-bench/src/steering/sim.rs
+++ b/crates/jasminecart-bench/src/steering/sim.rs
@@ -14,7 +14,7 @@
 };
 use jasminecart_core::hashing::HashMap;
 use jasminecart_core::version::{
-    Repeatable, Revision, RouteRule, Routes, TargetRecord, TargetState,
+    Repeatable, RouteRule, Routes, StoreRevision, TargetRecord, TargetState,
 };
 use jasminecart_core::{Millis, Name, VmId};
 use rand::{RngExt, SeedableRng};
@@ -155,7 +155,8 @@
         state: TargetState::Active,
         cold_for: Millis(cold_for),
         started_at: None,
-        revision: Revision(revision),
+        sequence: 1,
+        revision: StoreRevision::new(0, revision),
     }
 }
 
@@ -173,7 +174,7 @@
     let feed = rule("feed", Repeatable::Always, objective(true));
     let claim = rule("claim", Repeatable::Never, objective(false));
     Routes {
-        revision: Revision(1),
+        revision: StoreRevision::new(0, 1),
         version: 1,
         by_address: [(FEED, feed), (CLAIM, claim)].into_iter().collect(),
         idle_timeout: Millis::from_secs(15),
@@ -219,7 +220,7 @@
             let limits = TokenRouterLimits::default();
             let mut router = TokenRouter::new(&me, seed * 100 + vm as u64, limits);
             let records = (0..TARGETS).map(|target| record(target, 0, 1, 0)).collect();
-            router.set_targets(Millis::ZERO, records, Revision(1));
+            router.set_targets(Millis::ZERO, records, StoreRevision::new(0, 1));
             router.set_routes(routes.clone());
             sim.routers.push(router);
         }
@@ -494,8 +495,10 @@
             use jasminecart_core::version::TargetChange::{Deleted, Written};
             let name = old_name.clone();
             let now = Millis(self.now);
-            router
-                .change_target(now, Deleted { name, revision: Revision(revision), lapsed: false });
+            router.change_target(
+                now,
+                Deleted { name, revision: StoreRevision::new(0, revision), lapsed: false },
+            );
             router.change_target(
                 now,
                 Written(record(index, incarnation, revision, TARGET_WARM_UP_MS)),
--- a/crates/jasminecart-bench/src/token_packets.rs
+++ b/crates/jasminecart-bench/src/token_packets.rs
@@ -11,7 +11,7 @@
 
 use jasminecart_core::flow::token::{RoutingToken, TokenRouter, TokenRouterLimits, Verdict};
 use jasminecart_core::version::{
-    Repeatable, Revision, RouteRule, Routes, TargetRecord, TargetState,
+    Repeatable, RouteRule, Routes, StoreRevision, TargetRecord, TargetState,
 };
 use jasminecart_core::{Millis, Name, VmId};
 use jasminecart_forward::Encapsulation as _;
@@ -96,7 +96,8 @@
         state: TargetState::Active,
         cold_for: Millis::ZERO,
         started_at: None,
-        revision: Revision(1),
+        sequence: 1,
+        revision: StoreRevision::new(0, 1),
     };
     let rule = RouteRule {
         name: Name::new("feed"),
@@ -106,9 +107,9 @@
         objective: Millis(150),
         priority: 1,
     };
-    router.set_targets(Millis::ZERO, (0..TARGETS).map(record).collect(), Revision(1));
+    router.set_targets(Millis::ZERO, (0..TARGETS).map(record).collect(), StoreRevision::new(0, 1));
     router.set_routes(Arc::new(Routes {
-        revision: Revision(1),
+        revision: StoreRevision::new(0, 1),
         version: 1,
         by_address: [(SERVICE, Arc::new(rule))].into_iter().collect(),
         idle_timeout: Millis(15_000),
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -23,7 +23,7 @@
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 use crate::version::{
-    Effect, Repeatable, Revision, RouteRule, Routes, TargetChange, TargetList, TargetRecord,
+    Effect, Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetList, TargetRecord,
 };
 
 /// Bounds of a [`TokenRouter`].
@@ -97,10 +97,9 @@
         }
     }
 
-    /// Replaces the routes if `routes` has a higher revision. Returns whether they were replaced.
+    /// Replaces the routes if `routes` supersede them. Returns whether they were replaced.
     pub fn set_routes(&mut self, routes: Arc<Routes>) -> bool {
-        let newer = |current: &Arc<Routes>| routes.revision > current.revision;
-        let adopt = self.routes.as_ref().is_none_or(newer);
+        let adopt = self.routes.as_ref().is_none_or(|current| routes.supersede(current));
         if adopt {
             let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
             self.route_means.retain(|name| names.contains(name));
@@ -128,7 +127,7 @@
         &mut self,
         now: Millis,
         records: Vec<TargetRecord>,
-        revision: Revision,
+        revision: StoreRevision,
     ) -> Vec<(Name, Effect)> {
         let effects = self.list.replace(now, records, revision);
         for (name, effect) in effects.iter().filter(|(_, effect)| effect.is_change()) {
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -7,6 +7,7 @@
 mod parse;
 mod routes;
 mod sharing;
+mod store_revision;
 mod targets;
 
 pub use self::adoption::{
@@ -23,6 +24,7 @@
     SharedChanges, SharedItem, Sharing, SharingCounters, SharingLimits, SharingMessage,
     SharingStep, Source, TransferFailure, View,
 };
+pub use self::store_revision::StoreRevision;
 pub use self::targets::{
     Effect, ExpiredTargets, REMOVAL_GRACE, REREGISTRATION_GRACE, Registration, TOMBSTONE_RETENTION,
     TargetChange, TargetEntry, TargetList, TargetRecord,
--- a/crates/jasminecart-core/src/version/routes.rs
+++ b/crates/jasminecart-core/src/version/routes.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Revision;
+use super::StoreRevision;
 use crate::hashing::HashMap;
 use crate::names::Name;
 use crate::time::Millis;
@@ -43,12 +43,12 @@
     }
 }
 
-/// The routes of one revision. They are adopted as a whole and never replaced by an older revision.
+/// The routes of one revision. They are adopted as a whole and never replaced by older ones.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
     /// The revision at which the platform's store accepted them.
-    pub revision: Revision,
-    /// The operators' own version number, used in logs. It increases, but in uneven steps.
+    pub revision: StoreRevision,
+    /// The operators' own version number, by which routes are ordered. It increases, but in uneven steps.
     pub version: u64,
     /// The rule of each service address.
     pub by_address: HashMap<SocketAddrV4, Arc<RouteRule>>,
@@ -57,6 +57,12 @@
 }
 
 impl Routes {
+    /// Returns whether these routes replace `other`. A restored store may return an older version under a new
+    /// revision, which therefore only decides between equal versions.
+    pub fn supersede(&self, other: &Routes) -> bool {
+        (self.version, self.revision) > (other.version, other.revision)
+    }
+
     /// Returns the rule of a service address.
     pub fn rule(&self, address: &SocketAddrV4) -> Option<&Arc<RouteRule>> {
         self.by_address.get(address)
--- a/crates/jasminecart-core/src/version/sharing/delta.rs
+++ b/crates/jasminecart-core/src/version/sharing/delta.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::SharedItem;
-use crate::version::{Revision, Routes};
+use crate::version::{Routes, StoreRevision};
 
 /// The number of route revisions that are retained to compute differences. Operators change the
 /// routes a few times per minute at most; a peer that is further behind receives all routes.
@@ -19,9 +19,9 @@
 pub(super) struct RouteHistory(VecDeque<Arc<Routes>>);
 
 impl RouteHistory {
-    /// Appends `routes` unless the history contains the same or a newer revision.
+    /// Appends `routes` unless the history contains the same or newer ones.
     pub(super) fn add(&mut self, routes: Arc<Routes>) {
-        if self.0.back().is_some_and(|last| last.revision >= routes.revision) {
+        if self.0.back().is_some_and(|last| !routes.supersede(last)) {
             return;
         }
         self.0.push_back(routes);
@@ -32,7 +32,7 @@
 
     /// Returns the items that change the routes at revision `after` into `routes`. They contain all
     /// routes if no revision up to `after` is retained.
-    pub(super) fn delta(&self, routes: &Routes, after: Revision) -> Vec<SharedItem> {
+    pub(super) fn delta(&self, routes: &Routes, after: StoreRevision) -> Vec<SharedItem> {
         let base = self.0.iter().rev().find(|known| known.revision <= after);
         let mut items = vec![SharedItem::Routes {
             base: base.map(|base| base.revision),
--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -6,7 +6,7 @@
 
 use crate::names::VmId;
 use crate::time::Millis;
-use crate::version::{Revision, RouteRule, Routes, TargetChange};
+use crate::version::{RouteRule, Routes, StoreRevision, TargetChange};
 
 /// Limits and intervals of [`super::Sharing`].
 #[derive(Clone, Copy, Debug)]
@@ -134,9 +134,9 @@
     Routes {
         /// The revision that the following items are relative to; `None` if they contain all
         /// routes.
-        base: Option<Revision>,
+        base: Option<StoreRevision>,
         /// The revision of the new routes.
-        revision: Revision,
+        revision: StoreRevision,
         /// The operators' version of the new routes.
         version: u64,
         /// How long a flow may be idle.
@@ -155,9 +155,9 @@
     Beacon {
         /// The revision of the last change to routes or targets. A receiver at this revision or a
         /// later one is up to date.
-        unchanged_since: Revision,
+        unchanged_since: StoreRevision,
         /// The revision up to which the sender's view is complete.
-        revision: Revision,
+        revision: StoreRevision,
         /// How long ago the store confirmed it.
         age: Millis,
         /// Whether the sender reaches the store. If not, another member takes over as a reader.
@@ -166,14 +166,14 @@
     /// Requests the changes after a revision.
     Ask {
         /// The revision up to which the sender's view is complete; 0 requests the full state.
-        after: Revision,
+        after: StoreRevision,
     },
     /// One part of an update, which contains the changes between two revisions.
     Share {
         /// The revision that the changes are relative to; 0 if they are the full state.
-        after: Revision,
+        after: StoreRevision,
         /// The revision up to which the changes are complete.
-        upto: Revision,
+        upto: StoreRevision,
         /// How long ago the store confirmed that revision.
         age: Millis,
         /// The index of this part, starting at 0.
@@ -187,7 +187,7 @@
     /// stream, from the sender or from another peer that has fetched them.
     Offer {
         /// The revision up to which the sender's view is complete.
-        upto: Revision,
+        upto: StoreRevision,
     },
     /// The response over a stream of a VM that serves too many others, or has nothing newer: other
     /// VMs that may have it.
@@ -195,7 +195,7 @@
         /// The VMs.
         vms: Vec<VmId>,
         /// The revision up to which their views are complete.
-        upto: Revision,
+        upto: StoreRevision,
     },
 }
 
@@ -217,7 +217,7 @@
         /// The peer.
         from: VmId,
         /// The revision up to which this VM's view is complete; 0 requests the full state.
-        after: Revision,
+        after: StoreRevision,
     },
 }
 
@@ -242,7 +242,7 @@
     /// The new routes, if they changed.
     pub routes: Option<Arc<Routes>>,
     /// The revision up to which the changes are complete.
-    pub upto: Revision,
+    pub upto: StoreRevision,
 }
 
 /// Where a VM obtains changes from.
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -28,7 +28,7 @@
 use self::outage::StoreOutage;
 use self::parts::Assembly;
 use self::transfers::{FIRST_REVISION, Transfers};
-use super::{Revision, Routes, TargetList};
+use super::{Routes, StoreRevision, TargetList};
 use crate::names::VmId;
 use crate::process::{Introduction, Member, Members, rendezvous};
 use crate::time::Millis;
@@ -54,10 +54,10 @@
     is_reader: bool,
     is_standby: bool,
     /// The revision up to which this VM's view is complete.
-    position: Revision,
+    position: StoreRevision,
     first_state: FirstState,
     /// The revision up to which a peer offered changes that are too large for datagrams.
-    offered_upto: Revision,
+    offered_upto: StoreRevision,
     /// Until when this VM waits for a peer to send them.
     offer_expires_at: Millis,
     /// Whether this VM needs the full state, because its peers may have purged tombstones that it
@@ -65,7 +65,7 @@
     needs_full_state: bool,
     transfers: Transfers,
     /// The position at which this VM's view last changed.
-    changed_at: Revision,
+    changed_at: StoreRevision,
     /// When the store last confirmed this VM's view, directly or through a peer.
     confirmed_at: Option<Millis>,
     /// Whether a peer has ever confirmed this VM's view.
@@ -88,13 +88,13 @@
             outage: StoreOutage::default(),
             is_reader: true,
             is_standby: false,
-            position: Revision(0),
+            position: StoreRevision::NONE,
             first_state: FirstState::default(),
-            offered_upto: Revision(0),
+            offered_upto: StoreRevision::NONE,
             offer_expires_at: Millis::ZERO,
             needs_full_state: false,
             transfers: Transfers::default(),
-            changed_at: Revision(0),
+            changed_at: StoreRevision::NONE,
             confirmed_at: None,
             peer_has_confirmed: false,
             source: Source::Fallback,
@@ -136,7 +136,7 @@
             self.age(now) >= fallback_after && (!self.outage.is_active() || self.probes_store());
         let source = if self.is_reader {
             Source::Reader
-        } else if self.position == Revision(0) {
+        } else if self.position == StoreRevision::NONE {
             let fetches = self.transfers.is_active();
             self.first_state.source(now, &self.me, &self.limits, fetches)
         } else if self.misses_offer(now) || !self.peer_has_confirmed || stale {
@@ -158,7 +158,7 @@
 
     /// Starts a transfer if this VM needs one and a peer can send it.
     fn fetch(&mut self, now: Millis) -> Option<SharingStep> {
-        let needed = if self.position == Revision(0) {
+        let needed = if self.position == StoreRevision::NONE {
             self.first_state.may_fetch(now)
         } else {
             self.needs_full_state || self.position < self.offered_upto
@@ -170,7 +170,7 @@
             if self.position < self.offered_upto { self.offered_upto } else { FIRST_REVISION };
         let from = self.transfers.start(now, &self.me, upto)?;
         self.counters.fetches += 1;
-        let after = if self.needs_full_state { Revision(0) } else { self.position };
+        let after = if self.needs_full_state { StoreRevision::NONE } else { self.position };
         Some(SharingStep::Fetch { from, after })
     }
 
@@ -194,7 +194,7 @@
     }
 
     /// Returns the revision up to which this VM's view is complete.
-    pub fn position(&self) -> Revision {
+    pub fn position(&self) -> StoreRevision {
         self.position
     }
 
@@ -214,11 +214,12 @@
     pub fn on_store_response(
         &mut self,
         now: Millis,
-        upto: Revision,
+        upto: StoreRevision,
         changed: bool,
         view: View<'_>,
     ) -> Vec<SharingStep> {
         let before = self.position;
+        let restored = self.is_new_epoch(upto);
         self.position = before.max(upto);
         if let Some(routes) = view.routes {
             self.history.add(routes.clone());
@@ -227,7 +228,7 @@
         self.needs_full_state = false;
         self.outage.end();
         self.outage.include(&self.me);
-        if changed {
+        if changed || restored {
             self.changed_at = self.position;
         }
         // A member that fell back to the store also sends the changes, which saves its peers the
@@ -235,7 +236,7 @@
         if self.source == Source::Peers {
             return Vec::new();
         }
-        if !changed {
+        if !changed && !restored {
             return self.announce(now);
         }
         self.beacon_at = now + self.limits.beacon_interval;
@@ -245,14 +246,14 @@
     /// Records that a call to the store failed, and reports it to the peers: another member takes
     /// the place of a reader, and after enough reports the others stop to call the store.
     pub fn on_store_failure(&mut self, now: Millis) -> Vec<SharingStep> {
-        if self.position == Revision(0) {
+        if self.position == StoreRevision::NONE {
             self.first_state.set_store_failed();
         }
         let reported = self.outage.is_reported(&self.ranked, &self.limits);
         let reports = self.is_reader || self.probes_store() || !reported;
         self.outage.exclude(&self.me, now + self.limits.exclusion);
         let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
-        if reports && self.position > Revision(0) {
+        if reports && self.position > StoreRevision::NONE {
             steps.extend(self.announce(now));
         }
         steps
@@ -306,7 +307,7 @@
             if introduction.loaded {
                 self.first_state.remove_starting(vm);
                 self.transfers.add_source(vm, Some(introduction.size), FIRST_REVISION);
-            } else if self.position == Revision(0) {
+            } else if self.position == StoreRevision::NONE {
                 self.first_state.add_starting(vm, introduction.size);
             }
         }
@@ -319,11 +320,11 @@
         &mut self,
         now: Millis,
         from: &VmId,
-        after: Revision,
+        after: StoreRevision,
         view: View<'_>,
     ) -> SharingMessage {
-        let items = self.changes(now, after, view).filter(|_| self.position > after);
-        let Some(items) = items else { return self.refuse_fetch() };
+        let changes = self.changes(now, after, view).filter(|_| self.position > after);
+        let Some((after, items)) = changes else { return self.refuse_fetch() };
         let (upto, age) = (self.position, self.age(now));
         self.transfers.add_served(from, upto);
         SharingMessage::Share { after, upto, age, part: 0, parts: 1, items }
@@ -378,7 +379,7 @@
         self.fetch(now).into_iter().collect()
     }
 
-    fn on_offer(&mut self, now: Millis, from: &VmId, upto: Revision) -> Vec<SharingStep> {
+    fn on_offer(&mut self, now: Millis, from: &VmId, upto: StoreRevision) -> Vec<SharingStep> {
         if upto <= self.position {
             return Vec::new();
         }
@@ -397,7 +398,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<SharingStep> {
         let mut steps: Vec<SharingStep> = self.fetch(now).into_iter().collect();
         let reports = self.outage.is_excluded(&self.me) && self.probes_store();
-        let beacons = (self.is_reader || reports) && self.position > Revision(0);
+        let beacons = (self.is_reader || reports) && self.position > StoreRevision::NONE;
         if beacons && now >= self.beacon_at {
             steps.extend(self.announce(now));
         }
@@ -420,12 +421,16 @@
         &mut self,
         now: Millis,
         from: &VmId,
-        unchanged_since: Revision,
-        revision: Revision,
+        unchanged_since: StoreRevision,
+        revision: StoreRevision,
         age: Millis,
     ) -> Vec<SharingStep> {
+        if self.is_new_epoch(revision) {
+            self.needs_full_state = true;
+            return self.on_offer(now, from, revision);
+        }
         self.needs_full_state |= self.has_missed_deletions(now);
-        if self.position == Revision(0) || self.needs_full_state {
+        if self.position == StoreRevision::NONE || self.needs_full_state {
             self.transfers.add_source(from, None, revision);
             return self.fetch(now).into_iter().collect();
         }
@@ -440,6 +445,12 @@
         Vec::new()
     }
 
+    /// Returns whether a revision is of a later epoch of the store than this VM's view. The store has then lost its
+    /// latest changes, so that no changes lead from the view to that revision: the full state has to replace it.
+    fn is_new_epoch(&self, revision: StoreRevision) -> bool {
+        self.position != StoreRevision::NONE && revision.epoch > self.position.epoch
+    }
+
     /// Returns whether this VM's view is so old that its peers may have purged tombstones it has
     /// not received.
     fn has_missed_deletions(&self, now: Millis) -> bool {
@@ -460,8 +471,8 @@
         &mut self,
         now: Millis,
         from: &VmId,
-        after: Revision,
-        upto: Revision,
+        after: StoreRevision,
+        upto: StoreRevision,
         age: Millis,
         items: Vec<SharedItem>,
         view: View<'_>,
@@ -470,8 +481,9 @@
             return Vec::new();
         }
         let routes = delta::apply(items.iter(), view.routes);
-        let complete = after == Revision(0);
-        let missed_deletions = self.needs_full_state || self.has_missed_deletions(now);
+        let complete = after == StoreRevision::NONE;
+        let missed_deletions =
+            self.needs_full_state || self.has_missed_deletions(now) || self.is_new_epoch(upto);
         if missed_deletions && !complete {
             return self.on_gap(from, self.position);
         }
@@ -486,10 +498,10 @@
             return Vec::new();
         }
         let is_newer =
-            |routes: &Arc<Routes>| view.routes.is_none_or(|known| routes.revision > known.revision);
+            |routes: &Arc<Routes>| view.routes.is_none_or(|known| routes.supersede(known));
         let routes = routes.filter(is_newer);
         self.counters.applied += 1;
-        if self.position == Revision(0) {
+        if self.position == StoreRevision::NONE {
             self.first_state.set_joined(now);
         }
         self.changed_at = upto;
@@ -513,24 +525,35 @@
 
     /// Requests the missing changes, or the full state if the update already started at this
     /// position.
-    fn on_gap(&mut self, from: &VmId, started_at: Revision) -> Vec<SharingStep> {
+    fn on_gap(&mut self, from: &VmId, started_at: StoreRevision) -> Vec<SharingStep> {
         self.counters.gaps += 1;
-        let after = if started_at == self.position { Revision(0) } else { self.position };
+        let after = if started_at == self.position { StoreRevision::NONE } else { self.position };
         vec![self.send(vec![from.clone()], SharingMessage::Ask { after })]
     }
 
-    /// Returns the items that changed after a revision; `None` before this VM has a view, or if
-    /// the revision is later than it.
-    fn changes(&self, now: Millis, after: Revision, view: View<'_>) -> Option<Vec<SharedItem>> {
-        if self.position == Revision(0) || after > self.position || self.age(now) == Millis::MAX {
+    /// Returns the items that changed after a revision, and that revision; the full state if the
+    /// revision is of an earlier epoch. `None` before this VM has a view, or if the revision is
+    /// later than it.
+    fn changes(
+        &self,
+        now: Millis,
+        after: StoreRevision,
+        view: View<'_>,
+    ) -> Option<(StoreRevision, Vec<SharedItem>)> {
+        if self.position == StoreRevision::NONE
+            || after > self.position
+            || self.age(now) == Millis::MAX
+        {
             return None;
         }
+        let same_epoch = after.epoch == self.position.epoch;
+        let after = if same_epoch { after } else { StoreRevision::NONE };
         let targets = view.targets.changes_after(now, after).map(SharedItem::Target);
         let mut items: Vec<SharedItem> = targets.collect();
         if let Some(routes) = view.routes.filter(|routes| routes.revision > after) {
             items.extend(self.history.delta(routes, after));
         }
-        Some(items)
+        Some((after, items))
     }
 
     /// Sends the changes after a revision to some peers, or offers them if they are too large for
@@ -539,10 +562,10 @@
         &mut self,
         now: Millis,
         to: Vec<VmId>,
-        after: Revision,
+        after: StoreRevision,
         view: View<'_>,
     ) -> Vec<SharingStep> {
-        let Some(items) = self.changes(now, after, view) else { return Vec::new() };
+        let Some((after, items)) = self.changes(now, after, view) else { return Vec::new() };
         let (upto, age) = (self.position, self.age(now));
         let parts = parts::split(items);
         let count = u16::try_from(parts.len()).unwrap_or(u16::MAX);
--- a/crates/jasminecart-core/src/version/sharing/parts.rs
+++ b/crates/jasminecart-core/src/version/sharing/parts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::SharedItem;
-use crate::version::{Revision, RouteRule, TargetChange};
+use crate::version::{RouteRule, StoreRevision, TargetChange};
 
 /// The largest size of the items in one message in bytes, so that the message and its envelope fit
 /// a datagram of the usual MTU.
@@ -57,8 +57,8 @@
 /// The parts of one update that were received from one peer.
 #[derive(Debug, Default)]
 pub(super) struct Assembly {
-    after: Revision,
-    upto: Revision,
+    after: StoreRevision,
+    upto: StoreRevision,
     parts: Vec<Option<Vec<SharedItem>>>,
 }
 
@@ -66,8 +66,8 @@
     /// Adds a part. Returns all items in order once the update is complete.
     pub(super) fn add(
         &mut self,
-        after: Revision,
-        upto: Revision,
+        after: StoreRevision,
+        upto: StoreRevision,
         part: u16,
         parts: u16,
         items: Vec<SharedItem>,
--- a/crates/jasminecart-core/src/version/sharing/transfers.rs
+++ b/crates/jasminecart-core/src/version/sharing/transfers.rs
@@ -10,10 +10,10 @@
 use crate::names::VmId;
 use crate::process::{Member, rendezvous};
 use crate::time::Millis;
-use crate::version::Revision;
+use crate::version::StoreRevision;
 
 /// The least revision of a VM that has routes and targets. The store's revisions start above 0.
-pub(super) const FIRST_REVISION: Revision = Revision(1);
+pub(super) const FIRST_REVISION: StoreRevision = StoreRevision::new(0, 1);
 /// Upper bound on the known sources. The two-year target is 105 VMs in a data centre.
 const MAX_SOURCES: usize = 1_024;
 /// How long a peer that refused a transfer is not asked again. A transfer takes about as long.
@@ -32,7 +32,7 @@
 struct SourcePeer {
     size: u32,
     /// The revision up to which its view is known to be complete.
-    upto: Revision,
+    upto: StoreRevision,
     retry_at: Millis,
 }
 
@@ -45,12 +45,12 @@
     attempts: u64,
     /// The VMs that this VM has sent its current view to, and its revision.
     served: VecDeque<VmId>,
-    served_upto: Revision,
+    served_upto: StoreRevision,
 }
 
 impl Transfers {
     /// Adds a peer whose view is complete up to a revision. `size` is its capacity, if it is known.
-    pub(super) fn add_source(&mut self, vm: &VmId, size: Option<u32>, upto: Revision) {
+    pub(super) fn add_source(&mut self, vm: &VmId, size: Option<u32>, upto: StoreRevision) {
         if let Some(source) = self.sources.get_mut(vm) {
             source.size = size.unwrap_or(source.size);
             source.upto = source.upto.max(upto);
@@ -79,7 +79,7 @@
     /// Selects the source of a new transfer, unless one is in progress. Sources whose view is
     /// complete up to `upto` are selected at random, weighted by the square of their size: large VMs have a multiple of the link
     /// capacity of small ones, on which a transfer delays packets of clients.
-    pub(super) fn start(&mut self, now: Millis, me: &VmId, upto: Revision) -> Option<VmId> {
+    pub(super) fn start(&mut self, now: Millis, me: &VmId, upto: StoreRevision) -> Option<VmId> {
         if self.active.is_some() {
             return None;
         }
@@ -109,7 +109,7 @@
     }
 
     /// Records that this VM sent its view up to a revision to a peer.
-    pub(super) fn add_served(&mut self, vm: &VmId, upto: Revision) {
+    pub(super) fn add_served(&mut self, vm: &VmId, upto: StoreRevision) {
         if self.served_upto != upto {
             (self.served, self.served_upto) = (VecDeque::new(), upto);
         }
@@ -119,7 +119,7 @@
 
     /// Returns VMs that this VM has served and the revision that it sent them. Successive calls
     /// name different ones, so that the VMs that are referred to them spread.
-    pub(super) fn served(&mut self) -> (Vec<VmId>, Revision) {
+    pub(super) fn served(&mut self) -> (Vec<VmId>, StoreRevision) {
         let count = NAMED_SOURCES.min(self.served.len());
         let named = self.served.iter().take(count).cloned().collect();
         self.served.rotate_left(count);
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Revision, TargetState};
+use super::{StoreRevision, TargetState};
 use crate::names::Name;
 use crate::time::Millis;
 
@@ -42,8 +42,21 @@
     pub cold_for: Millis,
     /// When it started, in milliseconds since the Unix epoch, if it reports that.
     pub started_at: Option<u64>,
+    /// How many reports it had made since its start.
+    pub sequence: u64,
     /// The revision of the record.
-    pub revision: Revision,
+    pub revision: StoreRevision,
+}
+
+impl TargetRecord {
+    /// Returns whether this record is a later report of the target than `known`, whatever their revisions. Targets
+    /// that drain do not return to service, so that draining is the later one of two reports with one number.
+    fn is_later_report_than(&self, known: &TargetRecord) -> bool {
+        let order = |record: &TargetRecord| {
+            (record.started_at, record.sequence, record.state == TargetState::Draining)
+        };
+        order(self) > order(known)
+    }
 }
 
 /// Whether a target is registered in the platform's store, in this VM's view.
@@ -93,6 +106,25 @@
         }
     }
 
+    /// Applies a record that a restored store returns, and that is no later report than the known one. It does not
+    /// return a removed target to service: the removal was lost with the store's latest changes.
+    fn on_restored(&mut self, restored: &TargetRecord) -> Effect {
+        let same_incarnation = restored.started_at == self.record.started_at;
+        match self.registration {
+            Registration::Expired { .. } if same_incarnation => {
+                self.registration = Registration::Registered;
+                self.record.revision = restored.revision;
+                Effect::Changed
+            }
+            Registration::Registered if !self.record.is_later_report_than(restored) => {
+                Effect::Ignored
+            }
+            Registration::Registered
+            | Registration::Expired { .. }
+            | Registration::Removed { .. } => Effect::Outdated,
+        }
+    }
+
     /// Returns the remaining warm-up time of the target.
     pub fn warmup_left(&self, now: Millis) -> Millis {
         self.record.cold_for - now.since(self.received_at)
@@ -109,7 +141,7 @@
         /// The name of the target.
         name: Name,
         /// The revision of the deletion.
-        revision: Revision,
+        revision: StoreRevision,
         /// Whether the registration may have expired because of a store outage, in the view of the
         /// VM that read the store.
         lapsed: bool,
@@ -161,7 +193,8 @@
     }
 }
 
-/// The targets that this VM knows. Records are monotonic: an older one never replaces a newer one.
+/// The targets that this VM knows. Records are monotonic: an older one never replaces a newer one, also if the store
+/// was restored from a copy and returns older records under new revisions.
 #[derive(Clone, Debug, Default)]
 pub struct TargetList {
     targets: BTreeMap<Name, TargetEntry>,
@@ -170,6 +203,9 @@
     grace_until: Millis,
     /// When the store last confirmed the list.
     confirmed_at: Millis,
+    /// The revision of the first snapshot in the store's current epoch. Records up to it may come from the copy
+    /// that the store was restored from.
+    epoch_start: Option<StoreRevision>,
     /// When the first snapshot was applied. Registrations that expired before may be missing in it.
     first_snapshot_at: Option<Millis>,
 }
@@ -212,9 +248,15 @@
         &mut self,
         now: Millis,
         records: Vec<TargetRecord>,
-        revision: Revision,
+        revision: StoreRevision,
     ) -> Vec<(Name, Effect)> {
         self.first_snapshot_at.get_or_insert(now);
+        if self.epoch_start.is_some_and(|start| revision.epoch > start.epoch) {
+            // Targets that registered after the copy was made have to register again.
+            self.set_store_recovered(now);
+            self.epoch_start = Some(revision);
+        }
+        self.epoch_start.get_or_insert(revision);
         let listed: std::collections::BTreeSet<Name> =
             records.iter().map(|record| record.name.clone()).collect();
         let missing = |target: &&TargetEntry| {
@@ -248,6 +290,13 @@
             self.targets.insert(listed.record.name.clone(), listed);
             return Effect::Added;
         };
+        let new_epoch = listed.record.revision.epoch > known.record.revision.epoch;
+        if new_epoch
+            && self.epoch_start.is_some_and(|start| listed.record.revision <= start)
+            && !listed.record.is_later_report_than(&known.record)
+        {
+            return known.on_restored(&listed.record);
+        }
         if listed.record.revision < known.record.revision {
             return Effect::Outdated;
         }
@@ -261,7 +310,13 @@
         if restarted { Effect::Restarted } else { Effect::Changed }
     }
 
-    fn delete(&mut self, now: Millis, name: &Name, revision: Revision, expired: bool) -> Effect {
+    fn delete(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        revision: StoreRevision,
+        expired: bool,
+    ) -> Effect {
         let is_expiry = expired || now < self.grace_until;
         let Some(known) = self.targets.get_mut(name) else { return Effect::Ignored };
         if revision < known.record.revision {
@@ -316,7 +371,7 @@
     pub fn changes_after(
         &self,
         now: Millis,
-        after: Revision,
+        after: StoreRevision,
     ) -> impl Iterator<Item = TargetChange> {
         let newer = self.targets.values().filter(move |target| target.record.revision > after);
         newer.map(move |target| match target.registration {
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -1,8 +1,10 @@
 //! Tests of routing by a token and of sharing the view that it needs. Each test says which failure it guards
 //! against.
 
+mod data_centre;
 mod overload;
 mod refusing_targets;
+mod restored_store;
 mod routing;
 mod sharing;
 mod silent_targets;
--- a/crates/jasminecart-core/tests/token/routing.rs
+++ b/crates/jasminecart-core/tests/token/routing.rs
@@ -11,7 +11,7 @@
     DropCause, ResetCause, RoutingToken, SegmentKind, TokenRouter, TokenRouterLimits, Verdict,
 };
 use jasminecart_core::version::{
-    Effect, REMOVAL_GRACE, REREGISTRATION_GRACE, Repeatable, Revision, TOMBSTONE_RETENTION,
+    Effect, REMOVAL_GRACE, REREGISTRATION_GRACE, Repeatable, StoreRevision, TOMBSTONE_RETENTION,
     TargetChange, TargetState,
 };
 use jasminecart_core::{Millis, Name};
@@ -144,8 +144,11 @@
 fn flows_of_a_removed_target_are_reset_after_a_grace_period() {
     let mut router = router([target("a1", "desk", "east", 1), target("a2", "desk", "east", 1)]);
     let name = establish(&mut router, Millis(10), flow(1, FEED));
-    let deleted =
-        TargetChange::Deleted { name: name.clone(), revision: Revision(200), lapsed: false };
+    let deleted = TargetChange::Deleted {
+        name: name.clone(),
+        revision: StoreRevision::new(0, 200),
+        lapsed: false,
+    };
     assert_eq!(router.change_target(Millis(100), deleted), Effect::Removed);
     let segment = data(flow(1, FEED), &name, 101, 1, 50);
     let before = Millis(100) + REMOVAL_GRACE - Millis(1);
@@ -162,8 +165,11 @@
 fn targets_that_expired_in_an_outage_get_flows_during_a_grace_period() {
     let mut router = router([target("a1", "desk", "east", 1)]);
     router.set_store_recovered(Millis(1_000));
-    let deleted =
-        TargetChange::Deleted { name: Name::new("a1"), revision: Revision(200), lapsed: false };
+    let deleted = TargetChange::Deleted {
+        name: Name::new("a1"),
+        revision: StoreRevision::new(0, 200),
+        lapsed: false,
+    };
     router.change_target(Millis(1_010), deleted);
     open(&mut router, Millis(1_020), flow(1, FEED), 0);
     let end = Millis(1_010) + REREGISTRATION_GRACE;
@@ -183,8 +189,11 @@
     let mut router = router([target("a1", "desk", "east", 1)]);
     let name = establish(&mut router, Millis(10), flow(1, FEED));
     router.set_store_recovered(Millis(1_000));
-    let deleted =
-        TargetChange::Deleted { name: name.clone(), revision: Revision(200), lapsed: false };
+    let deleted = TargetChange::Deleted {
+        name: name.clone(),
+        revision: StoreRevision::new(0, 200),
+        lapsed: false,
+    };
     router.change_target(Millis(1_010), deleted);
     router.set_confirmed(Millis(1_010) + REREGISTRATION_GRACE - Millis(1));
     let later = Millis(60_000);
@@ -200,15 +209,18 @@
     let mut router = router([target("a1", "desk", "east", 50)]);
     let old = TargetChange::Written(target("a1", "desk", "east", 49));
     assert_eq!(router.change_target(Millis(10), old), Effect::Outdated);
-    let deleted =
-        TargetChange::Deleted { name: Name::new("a1"), revision: Revision(60), lapsed: false };
+    let deleted = TargetChange::Deleted {
+        name: Name::new("a1"),
+        revision: StoreRevision::new(0, 60),
+        lapsed: false,
+    };
     assert_eq!(router.change_target(Millis(20), deleted.clone()), Effect::Removed);
     let old = TargetChange::Written(target("a1", "desk", "east", 55));
     assert_eq!(router.change_target(Millis(30), old), Effect::Outdated);
     assert_eq!(router.change_target(Millis(40), deleted), Effect::Ignored);
     // A full list that was read before the deletion does not restore the target either.
     let list = vec![target("a1", "desk", "east", 50)];
-    let effects = router.set_targets(Millis(50), list, Revision(58));
+    let effects = router.set_targets(Millis(50), list, StoreRevision::new(0, 58));
     assert_eq!(effects, [(Name::new("a1"), Effect::Outdated)]);
 }
 
@@ -217,8 +229,11 @@
 fn a_stale_list_removes_nothing_newer() {
     let mut router = router([target("a1", "desk", "east", 1)]);
     router.change_target(Millis(10), TargetChange::Written(target("a2", "desk", "east", 200)));
-    let effects =
-        router.set_targets(Millis(20), vec![target("a1", "desk", "east", 1)], Revision(150));
+    let effects = router.set_targets(
+        Millis(20),
+        vec![target("a1", "desk", "east", 1)],
+        StoreRevision::new(0, 150),
+    );
     assert!(effects.is_empty(), "{effects:?}");
     assert_eq!(router.targets().usable_count(), 2);
 }
@@ -284,7 +299,11 @@
 fn tracked_flows_are_bounded_and_expire() {
     let limits = TokenRouterLimits { max_flows: 100, ..TokenRouterLimits::default() };
     let mut router = TokenRouter::new(&me(), 7, limits);
-    router.set_targets(Millis::ZERO, vec![target("a1", "desk", "east", 1)], Revision(100));
+    router.set_targets(
+        Millis::ZERO,
+        vec![target("a1", "desk", "east", 1)],
+        StoreRevision::new(0, 100),
+    );
     router.set_routes(Arc::new(routes(1)));
     for port in 1..1_000 {
         open(&mut router, Millis(1), flow(port, FEED), 0);
@@ -331,7 +350,7 @@
                     continue;
                 }
                 6 => {
-                    let revision = Revision(revision);
+                    let revision = StoreRevision::new(0, revision);
                     router.change_target(now, TargetChange::Deleted { name, revision, lapsed: false });
                     continue;
                 }
--- a/crates/jasminecart-core/tests/token/startup.rs
+++ b/crates/jasminecart-core/tests/token/startup.rs
@@ -9,7 +9,7 @@
 use crate::support::{routes, target};
 use jasminecart_core::process::{Discovery, DiscoveryMessage, PeerAddress, VmHint};
 use jasminecart_core::version::{
-    Revision, Sharing, SharingLimits, SharingMessage, SharingStep, Source, TargetChange,
+    Sharing, SharingLimits, SharingMessage, SharingStep, Source, StoreRevision, TargetChange,
     TargetList, TransferFailure, View,
 };
 use jasminecart_core::{Millis, VmId};
@@ -54,7 +54,7 @@
     Request {
         vm: usize,
         source: usize,
-        after: Revision,
+        after: StoreRevision,
     },
     /// A stream to `vm` ends.
     Response {
@@ -80,7 +80,7 @@
     loaded_at: Option<Millis>,
     /// Streams that are served, and requests that wait for one.
     served: usize,
-    waiting: Vec<(usize, Revision)>,
+    waiting: Vec<(usize, StoreRevision)>,
     link_free_at: Millis,
 }
 
@@ -297,10 +297,10 @@
         let now = self.now;
         let vm = &mut self.vms[number];
         let records = (0..TARGETS).map(|index| target(&format!("t{index}"), "desk", "dc-0", 1));
-        vm.targets.replace(now, records.collect(), Revision(1));
+        vm.targets.replace(now, records.collect(), StoreRevision::new(0, 1));
         vm.routes = Some(Arc::new(routes(1)));
         let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
-        let steps = vm.sharing.on_store_response(now, Revision(1), true, view);
+        let steps = vm.sharing.on_store_response(now, StoreRevision::new(0, 1), true, view);
         self.set_loaded(number);
         self.execute(number, steps);
     }
@@ -360,7 +360,7 @@
         }
     }
 
-    fn on_request(&mut self, vm: usize, source: usize, after: Revision) {
+    fn on_request(&mut self, vm: usize, source: usize, after: StoreRevision) {
         if !self.is_running(source) {
             let at = self.now + Millis(300);
             self.schedule(at, Event::Response { vm, source, message: None });
@@ -378,7 +378,7 @@
         }
     }
 
-    fn serve(&mut self, vm: usize, source: usize, after: Revision) {
+    fn serve(&mut self, vm: usize, source: usize, after: StoreRevision) {
         let (now, to) = (self.now, self.vms[vm].id.clone());
         let from = &mut self.vms[source];
         from.served += 1;
--- a/crates/jasminecart-core/tests/token/support.rs
+++ b/crates/jasminecart-core/tests/token/support.rs
@@ -8,7 +8,7 @@
     Verdict,
 };
 use jasminecart_core::version::{
-    Repeatable, Revision, RouteRule, Routes, TargetRecord, TargetState,
+    Repeatable, RouteRule, Routes, StoreRevision, TargetRecord, TargetState,
 };
 use jasminecart_core::{Millis, Name, VmId};
 
@@ -40,7 +40,7 @@
         (UPLOAD, rule("upload", "vault", Repeatable::Never)),
     ];
     Routes {
-        revision: Revision(revision),
+        revision: StoreRevision::new(0, revision),
         version: revision,
         by_address: rules.into_iter().map(|(at, rule)| (at, Arc::new(rule))).collect(),
         idle_timeout: IDLE,
@@ -59,14 +59,26 @@
         state: TargetState::Active,
         cold_for: Millis::ZERO,
         started_at: Some(1),
-        revision: Revision(revision),
+        sequence: 1,
+        revision: StoreRevision::new(0, revision),
     }
 }
 
+/// Returns the `sequence`-th report of a target that started at `started_at`.
+pub(crate) fn report(
+    name: &str,
+    started_at: u64,
+    sequence: u64,
+    state: TargetState,
+) -> TargetRecord {
+    let record = target(name, "desk", "east", 0);
+    TargetRecord { started_at: Some(started_at), sequence, state, ..record }
+}
+
 /// Returns a router that has `targets` and [`routes`] at time zero.
 pub(crate) fn router(targets: impl IntoIterator<Item = TargetRecord>) -> TokenRouter {
     let mut router = TokenRouter::new(&me(), 7, TokenRouterLimits::default());
-    router.set_targets(Millis::ZERO, targets.into_iter().collect(), Revision(100));
+    router.set_targets(Millis::ZERO, targets.into_iter().collect(), StoreRevision::new(0, 100));
     router.set_routes(Arc::new(routes(1)));
     router
 }
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -8,7 +8,7 @@
 use jasminecart_core::names::VmId;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
-    Revision, Sharing, SharingMessage, SharingStep, Source, TransferFailure, View,
+    Sharing, SharingMessage, SharingStep, Source, StoreRevision, TransferFailure, View,
 };
 use log::{debug, info};
 use tokio::sync::{mpsc, watch};
@@ -240,7 +240,7 @@
     fn update_readiness_and_feed(&mut self, now: Millis) {
         let age = self.sharing.age(now);
         self.forwarder.set_confirmed(now - age);
-        if !self.joined && self.sharing.position() > Revision(0) {
+        if !self.joined && self.sharing.position() > StoreRevision::NONE {
             self.joined = true;
             if self.peers.set_ready(now) {
                 self.sharing.set_members(self.peers.members());
@@ -249,9 +249,10 @@
         let source = self.sharing.source(now);
         if source != self.source {
             let name = source_name(source);
-            let position = self.sharing.position().0;
+            let position = self.sharing.position();
             info!(
-                event = "source-changed", source = name, revision = position, age_ms = age.get();
+                event = "source-changed", source = name, epoch = position.epoch,
+                revision = position.number, age_ms = age.get();
                 "the source of routes and targets changed"
             );
             self.source = source;
--- a/crates/jasminecart-forward/src/edges.rs
+++ b/crates/jasminecart-forward/src/edges.rs
@@ -6,7 +6,7 @@
 
 use jasminecart_core::flow::token::{ClientSegment, RoutingToken};
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Revision, Routes, TargetChange, TargetRecord};
+use jasminecart_core::version::{Routes, StoreRevision, TargetChange, TargetRecord};
 use thiserror::Error;
 
 /// Why a datagram is not a valid client segment.
@@ -50,9 +50,7 @@
     /// The targets.
     pub targets: Vec<TargetRecord>,
     /// The revision from which a watch continues.
-    pub revision: Revision,
-    /// The store's epoch, which rises each time that the store is restored from a copy.
-    pub epoch: u64,
+    pub revision: StoreRevision,
     /// How many entries were refused.
     pub refused: u64,
 }
@@ -65,9 +63,7 @@
     /// Changes of targets, oldest first.
     pub targets: Vec<TargetChange>,
     /// The revision from which the next watch continues.
-    pub revision: Revision,
-    /// The store's epoch, as in a [`Snapshot`].
-    pub epoch: u64,
+    pub revision: StoreRevision,
     /// How many entries were refused.
     pub refused: u64,
 }
@@ -78,6 +74,12 @@
     /// The store no longer has the changes that a watch requested.
     #[error("the directory no longer has the changes after the requested revision")]
     HistoryLost,
+    /// The store was restored from a copy, so that the requested changes are of a lost history.
+    #[error("the directory was restored from a copy")]
+    Restored,
+    /// The store responds in an earlier epoch than it did before.
+    #[error("the directory responds in an earlier epoch than before")]
+    OldEpoch,
     /// The store limits the rate of calls.
     #[error("too many calls")]
     Busy,
@@ -103,7 +105,7 @@
     /// Returns the changes after `after`, or none if `wait` passes without any.
     fn watch(
         &self,
-        after: Revision,
+        after: StoreRevision,
         wait: Millis,
     ) -> impl Future<Output = Result<Changes, DirectoryError>>;
 }
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -6,7 +6,7 @@
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Effect, Revision, Routes};
+use jasminecart_core::version::{Effect, Routes, StoreRevision};
 use log::{debug, info, warn};
 
 use crate::edges::{SegmentError, Snapshot};
@@ -67,7 +67,7 @@
             instead_of = instead_of, busy = load.active_requests, flows = load.flows,
             cost_percent = (load.cost * 100.0) as u64, candidates = decision.choice.candidates,
             all_suspect = decision.choice.all_suspect, version = decision.version,
-            age_ms = view_version.age.get(), revision = view_version.revision.0;
+            age_ms = view_version.age.get(), revision = view_version.revision.number;
             "a target was selected for a new flow"
         );
     }
@@ -86,7 +86,7 @@
         info!(
             event = "flow-reset", flow = flow(&segment.flow).as_str(), cause = reset_label(cause),
             token = segment.token.map_or(0, |token| token.get()),
-            age_ms = view_version.age.get(), revision = view_version.revision.0;
+            age_ms = view_version.age.get(), revision = view_version.revision.number;
             "a flow was reset"
         );
     }
@@ -105,7 +105,7 @@
         info!(
             event = "packet-dropped", flow = flow(&segment.flow).as_str(),
             cause = drop_label(cause), token = segment.token.map_or(0, |token| token.get()),
-            age_ms = view_version.age.get(), revision = view_version.revision.0;
+            age_ms = view_version.age.get(), revision = view_version.revision.number;
             "a packet was dropped"
         );
     }
@@ -128,7 +128,7 @@
     let change = if suspicion.suspected { "suspected" } else { "answers-again" };
     info!(
         event = "target-silence", target = suspicion.target.as_str(), change = change,
-        revision = view_version.revision.0, age_ms = view_version.age.get();
+        revision = view_version.revision.number, age_ms = view_version.age.get();
         "a target became suspected of being silent or responds again"
     );
 }
@@ -136,8 +136,9 @@
 /// Logs that routes were not adopted, because they are older than those of this VM.
 pub(crate) fn routes_outdated(routes: &Routes, current: &Routes, source: &str) {
     warn!(
-        event = "routes-outdated", version = routes.version, revision = routes.revision.0,
-        current_version = current.version, current_revision = current.revision.0,
+        event = "routes-outdated", version = routes.version, epoch = routes.revision.epoch,
+        revision = routes.revision.number, current_version = current.version,
+        current_epoch = current.revision.epoch, current_revision = current.revision.number,
         source = source;
         "routes that are older than the current ones were not adopted"
     );
@@ -147,13 +148,22 @@
 pub(crate) fn store_read(snapshot: &Snapshot) {
     let routes = snapshot.routes.as_ref();
     info!(
-        event = "store-read", epoch = snapshot.epoch, revision = snapshot.revision.0,
+        event = "store-read", epoch = snapshot.revision.epoch, revision = snapshot.revision.number,
         targets = snapshot.targets.len(), version = routes.map_or(0, |routes| routes.version),
-        routes_revision = routes.map_or(0, |routes| routes.revision.0);
+        routes_revision = routes.map_or(0, |routes| routes.revision.number);
         "the directory was read in full"
     );
 }
 
+/// Logs that the store was restored from a copy, as it or a peer reports.
+pub(crate) fn store_restored(revision: StoreRevision, current: StoreRevision) {
+    warn!(
+        event = "store-restored", epoch = revision.epoch, revision = revision.number,
+        current_epoch = current.epoch, current_revision = current.number;
+        "the directory was restored from a copy; its latest changes may be lost"
+    );
+}
+
 /// Logs that a service became overloaded or recovered, which happens at most a few times a second.
 pub(crate) fn overload_changed(change: &OverloadChange) {
     info!(
@@ -169,11 +179,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ViewVersion {
     pub(crate) age: Millis,
-    pub(crate) revision: Revision,
+    pub(crate) revision: StoreRevision,
 }
 
 /// Logs a change to one target, or that it was outdated.
-pub(crate) fn target_changed(name: &Name, effect: Effect, revision: Revision, source: &str) {
+pub(crate) fn target_changed(name: &Name, effect: Effect, revision: StoreRevision, source: &str) {
     let change = match effect {
         Effect::Added => "added",
         Effect::Changed => "changed",
@@ -183,8 +193,9 @@
         Effect::Ignored => return,
     };
     info!(
-        event = "target-changed", target = name.as_str(), change = change, revision = revision.0,
-        source = source; "the list of targets changed"
+        event = "target-changed", target = name.as_str(), change = change, epoch = revision.epoch,
+        revision = revision.number, source = source;
+        "the list of targets changed"
     );
 }
 
--- a/crates/jasminecart-forward/src/feed.rs
+++ b/crates/jasminecart-forward/src/feed.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::Revision;
+use jasminecart_core::version::StoreRevision;
 use jasminecart_runtime::backoff::Backoff;
 use log::{info, warn};
 use tokio::sync::{mpsc, watch};
@@ -54,7 +54,7 @@
     /// Read the store and watch it.
     Follow {
         /// The revision of the current view; 0 requests a full read.
-        known: Revision,
+        known: StoreRevision,
         /// How often to retry while calls fail.
         retry: RetryPace,
     },
@@ -94,6 +94,7 @@
         backoff: Backoff::new(limits.initial_backoff, limits.slow_max_backoff),
         failing: false,
         position: None,
+        epoch: 0,
         modes: modes.clone(),
     };
     loop {
@@ -101,7 +102,7 @@
         let ended = match mode {
             FeedMode::Idle => modes.changed().await.is_err(),
             FeedMode::Follow { known, .. } => {
-                feed.position = feed.position.max((known > Revision(0)).then_some(known));
+                feed.position = feed.position.max((known > StoreRevision::NONE).then_some(known));
                 tokio::select! {
                     ended = feed.run(directory.as_ref(), limits, &metrics, &tx) => {
                         let () = ended;
@@ -128,7 +129,9 @@
     backoff: Backoff,
     failing: bool,
     /// The revision from which the next watch continues; `None` if a full read is needed first.
-    position: Option<Revision>,
+    position: Option<StoreRevision>,
+    /// The latest known epoch of the store.
+    epoch: u64,
     modes: watch::Receiver<FeedMode>,
 }
 
@@ -144,10 +147,12 @@
         loop {
             metrics.directory_calls.inc();
             let started_at = Instant::now();
+            self.epoch = self.epoch.max(self.position.map_or(0, |position| position.epoch));
             let step = match self.position {
                 None => directory.read().await.map(Update::Read),
                 Some(after) => directory.watch(after, limits.watch_wait).await.map(Update::Changed),
             };
+            let step = step.and_then(|update| self.check_epoch(update));
             let (running, next_at) = match step {
                 Ok(update) => (self.on_update(update, tx).await, started_at + limits.watch_spacing),
                 Err(error) => {
@@ -162,6 +167,20 @@
         }
     }
 
+    /// Refuses a response of another epoch than the latest known one. The changes that a watch returns after the store
+    /// was restored are not complete: they begin at a revision that was given out twice.
+    fn check_epoch(&self, update: Update) -> Result<Update, DirectoryError> {
+        let epoch = match &update {
+            Update::Read(snapshot) => snapshot.revision.epoch,
+            Update::Changed(changes) if changes.revision.epoch > self.epoch => {
+                return Err(DirectoryError::Restored);
+            }
+            Update::Changed(changes) => changes.revision.epoch,
+            Update::Recovered | Update::Failed => return Ok(update),
+        };
+        if epoch < self.epoch { Err(DirectoryError::OldEpoch) } else { Ok(update) }
+    }
+
     /// Sends an update to the main loop. Returns whether the main loop is still running.
     async fn on_update(&mut self, update: Update, tx: &mpsc::Sender<Update>) -> bool {
         self.backoff.reset();
@@ -189,9 +208,10 @@
         tx: &mpsc::Sender<Update>,
     ) -> Option<Duration> {
         metrics.directory_failures.inc();
-        if matches!(error, DirectoryError::HistoryLost) {
+        if matches!(error, DirectoryError::HistoryLost | DirectoryError::Restored) {
+            let cause = error.to_string();
             info!(
-                event = "directory-history-lost";
+                event = "directory-history-lost", cause = cause.as_str();
                 "the directory no longer has the requested history; reading it in full"
             );
             self.position = None;
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -11,7 +11,7 @@
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
-    Effect, Revision, Routes, SharedChanges, TargetChange, TargetRecord,
+    Effect, Routes, SharedChanges, StoreRevision, TargetChange, TargetRecord,
 };
 use log::{info, warn};
 use tokio::net::UdpSocket;
@@ -35,7 +35,7 @@
     router: TokenRouter,
     shared: Rc<Shared>,
     events: Events,
-    revision: Revision,
+    revision: StoreRevision,
     backlog: Backlog,
     datagram: Box<[u8]>,
     out: Vec<u8>,
@@ -54,7 +54,7 @@
             router,
             shared,
             events: Events::default(),
-            revision: Revision::default(),
+            revision: StoreRevision::default(),
             backlog: Backlog::default(),
             datagram: vec![0; MAX_DATAGRAM].into(),
             out: Vec::with_capacity(MAX_DATAGRAM),
@@ -203,7 +203,6 @@
     /// Applies a full read of the store. Returns whether anything changed.
     pub(crate) fn apply_snapshot(&mut self, now: Millis, snapshot: Snapshot) -> bool {
         self.shared.metrics.refused_entries.inc_by(snapshot.refused);
-        self.set_epoch(snapshot.epoch, snapshot.revision);
         events::store_read(&snapshot);
         let replaced = self.replace_targets(now, snapshot.targets, snapshot.revision, "store");
         let adopted =
@@ -218,7 +217,7 @@
         &mut self,
         now: Millis,
         records: Vec<TargetRecord>,
-        revision: Revision,
+        revision: StoreRevision,
         source: &str,
     ) -> bool {
         let first = self.router.targets().iter().next().is_none();
@@ -226,7 +225,8 @@
         if first {
             self.shared.metrics.first_state_ms.set(now.get() as i64);
             info!(
-                event = "targets-loaded", targets = effects.len(), revision = revision.0,
+                event = "targets-loaded", targets = effects.len(), epoch = revision.epoch,
+                revision = revision.number,
                 source = source, after_ms = now.get();
                 "the first targets of this process were loaded"
             );
@@ -241,7 +241,6 @@
     /// Applies changes from a watch of the store. Returns whether anything changed.
     pub(crate) fn apply_changes(&mut self, now: Millis, changes: Changes) -> bool {
         self.shared.metrics.refused_entries.inc_by(changes.refused);
-        self.set_epoch(changes.epoch, changes.revision);
         let applied = self.apply_targets(now, changes.targets, changes.revision, "store");
         let adopted =
             changes.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
@@ -279,7 +278,7 @@
         &mut self,
         now: Millis,
         changes: Vec<TargetChange>,
-        revision: Revision,
+        revision: StoreRevision,
         source: &str,
     ) -> bool {
         let mut applied = false;
@@ -292,45 +291,38 @@
         applied
     }
 
-    fn report_target(&self, name: &Name, effect: Effect, revision: Revision, source: &str) {
+    fn report_target(&self, name: &Name, effect: Effect, revision: StoreRevision, source: &str) {
         if effect == Effect::Outdated {
             self.shared.metrics.outdated.get_or_create(&KindLabel { kind: "target" }).inc();
         }
         events::target_changed(name, effect, revision, source);
     }
 
-    /// Records the store's epoch, and logs when it changes.
-    fn set_epoch(&self, epoch: u64, revision: Revision) {
-        let previous = self.shared.metrics.store_epoch.set(epoch as i64);
-        if previous != epoch as i64 && self.revision > Revision(0) {
-            warn!(
-                event = "store-restored", epoch = epoch, previous_epoch = previous,
-                revision = revision.0, current_revision = self.revision.0;
-                "the directory was restored from a copy"
-            );
-        }
-    }
-
     fn adopt_routes(&mut self, routes: Arc<Routes>, source: &str) -> bool {
-        let (version, revision, count) =
-            (routes.version, routes.revision.0, routes.by_address.len());
+        let (version, revision, count) = (routes.version, routes.revision, routes.by_address.len());
         let known = self.router.routes().cloned();
         let adopted = self.router.set_routes(routes.clone());
-        if let Some(known) = known.filter(|known| !adopted && routes.revision < known.revision) {
+        if let Some(known) = known.filter(|known| !adopted && known.supersede(&routes)) {
             self.shared.metrics.outdated.get_or_create(&KindLabel { kind: "routes" }).inc();
             events::routes_outdated(&routes, &known, source);
         }
         if adopted {
             info!(
-                event = "routes-adopted", version = version, revision = revision, routes = count,
-                source = source;
+                event = "routes-adopted", version = version, epoch = revision.epoch,
+                revision = revision.number, routes = count, source = source;
                 "new routes were adopted"
             );
         }
         adopted
     }
 
-    fn advance_to(&mut self, now: Millis, revision: Revision) {
+    fn advance_to(&mut self, now: Millis, revision: StoreRevision) {
+        if revision.epoch > self.revision.epoch {
+            self.shared.metrics.store_epoch.set(revision.epoch as i64);
+            if self.revision != StoreRevision::NONE {
+                events::store_restored(revision, self.revision);
+            }
+        }
         self.revision = self.revision.max(revision);
         if self.router.is_ready() {
             self.shared.readiness.set_loaded(true);
--- a/crates/jasminecart-forward/tests/peers.rs
+++ b/crates/jasminecart-forward/tests/peers.rs
@@ -2,17 +2,17 @@
 
 use jasminecart_core::Millis;
 use jasminecart_core::VmId;
-use jasminecart_core::version::{Revision, SharingMessage};
+use jasminecart_core::version::{SharingMessage, StoreRevision};
 use jasminecart_forward::peers::{ForwardMessage, PeerDatagram};
 use proptest::prelude::*;
 
 fn datagram() -> PeerDatagram {
     PeerDatagram {
-        protocol: 3,
+        protocol: 4,
         from: VmId::new("east", "vm-1"),
         message: ForwardMessage::Sharing(SharingMessage::Beacon {
-            unchanged_since: Revision(3),
-            revision: Revision(7),
+            unchanged_since: StoreRevision::new(2, 3),
+            revision: StoreRevision::new(2, 7),
             age: Millis(40),
             reachable: true,
         }),
@@ -29,7 +29,7 @@
 #[test]
 fn another_version_and_trailing_bytes_are_refused() {
     let mut other = datagram();
-    other.protocol = 2;
+    other.protocol = 3;
     let bytes = postcard::to_stdvec(&other).expect("encoded");
     assert_eq!(PeerDatagram::decode(&bytes), None);
     let mut longer = postcard::to_stdvec(&datagram()).expect("encoded");
