Ignore a response from before a restore that is handled late

Cause: a VM that was paused may handle a response of an earlier epoch after its peers have told it of the restore. It changed no target, but the view counted as confirmed at that moment.

Change: Sharing refuses such a response, and the daemon does not apply it.

Result: a_response_from_before_the_restore_confirms_nothing; without the check it fails, because the old response makes the VM send a message. 4,000 random cases of every_vm_catches_up_after_random_restores hold.

--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -208,6 +208,12 @@
         self.counters
     }
 
+    /// Returns whether a response of the store at `revision` tells anything new. A VM that was paused may still
+    /// handle one from before a restore of which its peers have told it meanwhile.
+    pub fn accepts_response(&self, revision: StoreRevision) -> bool {
+        revision.epoch >= self.position.epoch
+    }
+
     /// Handles a response of the store after which `view` is complete up to `upto`. `changed`
     /// states whether the response contained changes. A VM that follows the store sends them to its
     /// peers immediately.
@@ -218,6 +224,9 @@
         changed: bool,
         view: View<'_>,
     ) -> Vec<SharingStep> {
+        if !self.accepts_response(upto) {
+            return Vec::new();
+        }
         let before = self.position;
         let restored = self.is_new_epoch(upto);
         self.position = before.max(upto);
--- a/crates/jasminecart-core/tests/token/restored_store.rs
+++ b/crates/jasminecart-core/tests/token/restored_store.rs
@@ -3,7 +3,7 @@
 
 use jasminecart_core::version::{
     Effect, REREGISTRATION_GRACE, Registration, StoreRevision, TargetChange, TargetList,
-    TargetRecord, TargetState,
+    TargetRecord, TargetState, View,
 };
 use jasminecart_core::{Millis, Name};
 use proptest::prelude::*;
@@ -161,6 +161,24 @@
     centre.assert_up_to_date();
 }
 
+/// Guards against a view that counts as confirmed by a response from before the restore, which a VM handles late because it
+/// was paused.
+#[test]
+fn a_response_from_before_the_restore_confirms_nothing() {
+    let mut centre = DataCentre::new(1);
+    centre.run(Millis(4_000));
+    let old = centre.revision();
+    centre.restore(centre.backup());
+    centre.run(Millis(500));
+    let now = centre.now + Millis(700);
+    let vm = centre.vms.values_mut().next().expect("a VM");
+    let age = vm.sharing.age(now);
+    let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+    assert!(vm.sharing.on_store_response(now, old, true, view).is_empty());
+    assert_eq!(vm.sharing.age(now), age);
+    assert_eq!(vm.sharing.position().epoch, old.epoch + 1);
+}
+
 /// Guards against a full transfer that starts over each time that a restored store is confirmed, and against calls of VMs that
 /// could get the new state from a peer.
 #[test]
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
-use crate::edges::Encapsulation;
+use crate::edges::{Changes, Encapsulation, Snapshot};
 use crate::feed::{FeedMode, RetryPace, Update};
 use crate::forwarder::{Forwarder, report_socket};
 use crate::peers::{ForwardMessage, Peers, Received};
@@ -91,6 +91,11 @@
                 self.update_readiness_and_feed(now);
                 return;
             }
+            Update::Read(Snapshot { revision, .. }) | Update::Changed(Changes { revision, .. })
+                if !self.sharing.accepts_response(revision) =>
+            {
+                return;
+            }
             Update::Read(snapshot) => {
                 (snapshot.revision, self.forwarder.apply_snapshot(now, snapshot))
             }
