Adopt documents that are published after a restore of the platform

An entry VM compared the revisions of documents of before and after a restore, so that documents published afterwards were refused until their numbers had passed the earlier ones, or raised as digest conflicts. Not seen at users.

Change: the platform's protocol states an epoch, 0 if absent, and watches name it. Revision holds it in the upper bits, so that a later epoch is higher wherever revisions are compared. The first document that a VM sees of an epoch is refused and raised as an alert if the VM has replaced it before: it comes from the copy. Metric document_epoch; the stand-in platform can be restored.

Result: a_document_published_after_the_platform_was_restored_is_adopted fails when the epoch is not read (no alert within 20 s), and documents_published_after_a_restore_are_adopted_and_restored_ones_are_not fails when restored documents are not recognised (revision 8 of epoch 1 instead of 9). Both hold now.

--- a/crates/jasminecart-core/src/version/adoption/alerts.rs
+++ b/crates/jasminecart-core/src/version/adoption/alerts.rs
@@ -27,7 +27,8 @@
         /// The validation errors.
         errors: DocumentErrors,
     },
-    /// The platform responded with a lower revision than the current one.
+    /// The platform responded with a lower revision than the current one, or came back from a copy with a document
+    /// that has been replaced.
     Reverted {
         /// The current revision on this VM.
         ours: Revision,
--- a/crates/jasminecart-core/src/version/adoption/history.rs
+++ b/crates/jasminecart-core/src/version/adoption/history.rs
@@ -4,6 +4,7 @@
 
 use super::sections;
 use super::wire::DocumentId;
+use crate::version::document::Digest;
 
 #[derive(Debug)]
 struct Entry {
@@ -25,6 +26,12 @@
         }
     }
 
+    /// Returns whether a document was current before and has been replaced.
+    pub(super) fn is_replaced(&self, digest: &Digest) -> bool {
+        let is_current = self.entries.back().is_some_and(|entry| entry.id.digest == *digest);
+        !is_current && self.entries.iter().any(|entry| entry.id.digest == *digest)
+    }
+
     pub(super) fn get(&self, id: &DocumentId) -> Option<&[u64]> {
         let entry = self.entries.iter().find(|entry| entry.id == *id)?;
         Some(&entry.index)
--- a/crates/jasminecart-core/src/version/adoption/mod.rs
+++ b/crates/jasminecart-core/src/version/adoption/mod.rs
@@ -262,6 +262,12 @@
             self.check_digest(DocumentId { revision, digest: Digest::of(text) });
             return false;
         }
+        if self.is_restored(revision, text) {
+            self.counters.outdated += 1;
+            self.refused.insert(DocumentId { revision, digest: Digest::of(text) });
+            self.report_reverted(revision);
+            return false;
+        }
         match Document::parse(revision, text) {
             Ok(document) => {
                 self.adopt(now, Arc::new(document));
@@ -276,6 +282,13 @@
         }
     }
 
+    /// Returns whether a document comes from the copy that the store was restored from: it has been replaced, and it is the
+    /// first one of a new epoch. Operators who go back to an earlier document publish it after that.
+    fn is_restored(&self, revision: Revision, text: &str) -> bool {
+        let new_epoch = revision.epoch() > self.highest_evaluated().epoch();
+        new_epoch && self.history.is_replaced(&Digest::of(text))
+    }
+
     fn adopt(&mut self, now: Millis, document: Arc<Document>) {
         let previous = self.current.as_ref().map(|document| document.revision());
         invariant!(
--- a/crates/jasminecart-core/src/version/document.rs
+++ b/crates/jasminecart-core/src/version/document.rs
@@ -14,15 +14,43 @@
 use crate::time::Millis;
 
 /// The revision of a document, assigned by the platform's store. A higher revision is newer.
+///
+/// A store that was restored from a copy gives numbers out again, in a new epoch. The epoch takes the upper bits, so
+/// that any revision of a later epoch is higher. `docs/design.md`, section 8, gives the rules.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// The bits of the number within the epoch: at 700 changes a day, enough for four million years.
+    const NUMBER_BITS: u32 = 40;
+
+    /// Returns the revision with a number in an epoch of the store. Returns `None` if one of them is too large.
+    pub fn in_epoch(epoch: u64, number: u64) -> Option<Revision> {
+        let fits =
+            epoch >> (u64::BITS - Self::NUMBER_BITS) == 0 && number >> Self::NUMBER_BITS == 0;
+        fits.then_some(Revision(epoch << Self::NUMBER_BITS | number))
+    }
+
+    /// Returns how often the store had been restored when it gave out this revision.
+    pub fn epoch(self) -> u64 {
+        self.0 >> Self::NUMBER_BITS
+    }
+
+    /// Returns the number within the epoch.
+    pub fn number(self) -> u64 {
+        self.0 & ((1 << Self::NUMBER_BITS) - 1)
+    }
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        match self.epoch() {
+            0 => write!(f, "{}", self.number()),
+            epoch => write!(f, "{epoch}.{}", self.number()),
+        }
     }
 }
 
--- a/crates/jasminecart-core/tests/adoption.rs
+++ b/crates/jasminecart-core/tests/adoption.rs
@@ -152,6 +152,61 @@
     assert_eq!(adoption.current().unwrap().revision(), Revision(9));
 }
 
+fn restored_reply(number: u64, document: u64) -> PlatformReply {
+    let revision = Revision::in_epoch(1, number).unwrap();
+    PlatformReply::Document { revision, text: text(document) }
+}
+
+// Guards against documents that are refused for good after the platform came back from a copy and gave their revisions out
+// again, and against the document of the copy that replaces a newer one (I8).
+#[test]
+fn documents_published_after_a_restore_are_adopted_and_restored_ones_are_not() {
+    let mut adoption = new_adoption(0);
+    let mut steps = adoption.start(Millis(1_000));
+    for revision in 7..=9 {
+        steps.extend(adoption.on_platform(Millis(1_000 + revision), document_reply(revision)));
+    }
+    let steps = adoption.on_platform(Millis(2_000), restored_reply(8, 8));
+    assert_eq!(adoption.current().unwrap().revision(), Revision(9));
+    assert!(matches!(alerts(&steps)[..], [AdoptionAlert::Reverted { .. }]));
+    // The operators publish the lost document again, change it, and go back to an earlier one on purpose.
+    for (number, document) in [(9, 9), (10, 11), (11, 7)] {
+        let now = Millis(3_000 + number);
+        let steps = adoption.on_platform(now, restored_reply(number, document));
+        let expected = Revision::in_epoch(1, number).unwrap();
+        assert_eq!(adopted_revisions(&steps), [expected]);
+        assert_eq!(alerts(&steps).len(), 0);
+    }
+}
+
+// Guards against watching a restored platform from a number that it has not reached yet.
+#[test]
+fn the_watch_continues_in_the_epoch_of_the_restored_platform() {
+    let mut adoption = new_adoption(0);
+    adoption.start(Millis(1_000));
+    adoption.on_platform(Millis(1_010), document_reply(8));
+    adoption.on_platform(Millis(1_020), document_reply(9));
+    adoption.on_platform(Millis(1_030), restored_reply(8, 8));
+    let steps: Vec<Step> = (0..50).flat_map(|n| adoption.tick(Millis(2_000 + n * 100))).collect();
+    let watch = steps.iter().find_map(|step| match step {
+        Step::Watch { after } => Some(*after),
+        _ => None,
+    });
+    assert_eq!(watch, Revision::in_epoch(1, 8));
+}
+
+#[test_case(0, 0, true; "the lowest")]
+#[test_case((1 << 24) - 1, (1 << 40) - 1, true; "the highest")]
+#[test_case(1 << 24, 0, false; "an epoch that is too high")]
+#[test_case(0, 1 << 40, false; "a number that is too high")]
+fn a_revision_has_an_epoch_and_a_number(epoch: u64, number: u64, valid: bool) {
+    let revision = Revision::in_epoch(epoch, number);
+    assert_eq!(revision.is_some(), valid);
+    if let Some(revision) = revision {
+        assert_eq!((revision.epoch(), revision.number()), (epoch, number));
+    }
+}
+
 // Guards against a VM that becomes ready before it has compared the platform's revision with that
 // of its peers, and against one that never becomes ready because one of them does not respond.
 #[test_case(true, true, 0 ; "both respond")]
--- a/crates/jasminecart-entry/src/control/actor.rs
+++ b/crates/jasminecart-entry/src/control/actor.rs
@@ -123,8 +123,8 @@
         self.flush_packets();
         let actions = self.parts.dispatcher.set_document(now, document);
         self.apply_actions(actions);
-        let (revision, digest) = (document.revision().0, document.digest().to_string());
-        log::info!(event = "document_adopted", vm = self.vm.as_str(), revision = revision, digest = digest.as_str(); "adopted a new document");
+        let (revision, digest) = (document.revision(), document.digest().to_string());
+        log::info!(event = "document_adopted", vm = self.vm.as_str(), epoch = revision.epoch(), revision = revision.number(), digest = digest.as_str(); "adopted a new document");
         self.warn_of_short_stop_limit(document);
     }
 
@@ -133,27 +133,27 @@
     fn warn_of_short_stop_limit(&self, document: &Document) {
         let longest = longest_deadline(document);
         if longest > self.parts.stop_within {
-            let (revision, bound) = (document.revision().0, self.parts.stop_within.get());
+            let (revision, bound) = (document.revision().number(), self.parts.stop_within.get());
             log::warn!(event = "stop_bound_short", vm = self.vm.as_str(), revision = revision, stop_within_ms = bound, longest_deadline_ms = longest.get(); "stop_within is below the longest deadline of a class; a planned stop may take up to that deadline");
         }
     }
 
     fn alert(&mut self, alert: &AdoptionAlert) {
         increment(&self.parts.metrics.counters.adoption_alerts);
-        let (vm, ours) = (self.vm.as_str(), self.revision().0);
+        let (vm, ours) = (self.vm.as_str(), self.revision().number());
         match alert {
             AdoptionAlert::DigestConflict { revision, ours, theirs } => {
                 let (ours, theirs) = (ours.to_string(), theirs.to_string());
-                log::error!(event = "document_digest_conflict", vm = vm, revision = revision.0, ours = ours.as_str(), theirs = theirs.as_str(); "another document has this revision with a different digest; keeping the current document");
+                log::error!(event = "document_digest_conflict", vm = vm, revision = revision.number(), ours = ours.as_str(), theirs = theirs.as_str(); "another document has this revision with a different digest; keeping the current document");
             }
             AdoptionAlert::Invalid { revision, errors } => {
                 let problems: Vec<String> =
                     errors.problems.iter().map(ToString::to_string).collect();
                 let problems = problems.join("; ");
-                log::error!(event = "document_invalid", vm = vm, revision = revision.0, in_force = ours, problems = problems.as_str(); "refused an invalid document; keeping the current document");
+                log::error!(event = "document_invalid", vm = vm, revision = revision.number(), in_force = ours, problems = problems.as_str(); "refused an invalid document; keeping the current document");
             }
             AdoptionAlert::Reverted { ours, theirs } => {
-                log::warn!(event = "platform_reverted", vm = vm, in_force = ours.0, revision = theirs.0; "the platform returned a lower revision than the current one; keeping the current document");
+                log::warn!(event = "platform_reverted", vm = vm, in_force = ours.number(), revision = theirs.number(), epoch = theirs.epoch(); "the platform returned an older document than the current one; keeping the current document");
             }
         }
     }
@@ -183,7 +183,7 @@
     }
 
     fn log_member(&self, event: &str, member: &VmId, text: &str) {
-        let (member, revision) = (member.to_string(), self.revision().0);
+        let (member, revision) = (member.to_string(), self.revision().number());
         log::info!(event = event, vm = self.vm.as_str(), member = member.as_str(), revision = revision; "{text}");
     }
 
@@ -319,7 +319,7 @@
         let ready = self.parts.adoption.is_ready() && self.joined && !self.leaving;
         if ready != self.ready {
             self.ready = ready;
-            let revision = self.revision().0;
+            let revision = self.revision().number();
             log::info!(event = "readiness_changed", vm = self.vm.as_str(), ready = ready, revision = revision; "the readiness of this VM changed");
         }
     }
@@ -528,7 +528,8 @@
     async fn handle(&mut self, _: GetStatus, _cx: &mut Context<Self>) -> Status {
         let now = self.now();
         let document = self.parts.adoption.current().map(|document| DocumentStatus {
-            revision: document.revision().0,
+            epoch: document.revision().epoch(),
+            revision: document.revision().number(),
             digest: document.digest().to_string(),
             services: document.services().len(),
             targets: document.targets().len(),
@@ -538,7 +539,8 @@
             state: member.state,
             incarnation: member.incarnation.0,
             size: member.size,
-            revision: member.revision.0,
+            epoch: member.revision.epoch(),
+            revision: member.revision.number(),
             control: member.address.control.to_string(),
             silent_ms: now.since(member.heard_at).get(),
         });
@@ -568,7 +570,7 @@
             members: self.parts.membership.counters().clone(),
             adoption: self.parts.adoption.counters().clone(),
             links: self.peers.counters(),
-            revision: self.revision().0,
+            revision: self.revision(),
             ready: self.ready,
             members_by_state,
         }
--- a/crates/jasminecart-entry/src/control/status.rs
+++ b/crates/jasminecart-entry/src/control/status.rs
@@ -2,7 +2,7 @@
 
 use jasminecart_core::process::{MemberCounters, MemberState};
 use jasminecart_core::request::{DispatchCounters, TargetUse};
-use jasminecart_core::version::AdoptionCounters;
+use jasminecart_core::version::{AdoptionCounters, Revision};
 use jasminecart_peer::PeerCounters;
 use serde::Serialize;
 
@@ -23,6 +23,7 @@
 /// The current document.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct DocumentStatus {
+    pub(crate) epoch: u64,
     pub(crate) revision: u64,
     pub(crate) digest: String,
     pub(crate) services: usize,
@@ -36,6 +37,7 @@
     pub(crate) state: MemberState,
     pub(crate) incarnation: u64,
     pub(crate) size: u32,
+    pub(crate) epoch: u64,
     pub(crate) revision: u64,
     pub(crate) control: String,
     pub(crate) silent_ms: u64,
@@ -61,7 +63,7 @@
     pub(crate) members: MemberCounters,
     pub(crate) adoption: AdoptionCounters,
     pub(crate) links: PeerCounters,
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
     pub(crate) ready: bool,
     pub(crate) members_by_state: MembersByState,
 }
--- a/crates/jasminecart-entry/src/operators.rs
+++ b/crates/jasminecart-entry/src/operators.rs
@@ -123,7 +123,9 @@
             groups.push(Group::counters("member", &control_counters.members));
             groups.push(Group::counters("adoption", &control_counters.adoption));
             groups.push(Group::counters("peer_links", &control_counters.links));
-            groups.push(Group::gauge("document_revision", control_counters.revision));
+            let revision = control_counters.revision;
+            groups.push(Group::gauge("document_revision", revision.number()));
+            groups.push(Group::gauge("document_epoch", revision.epoch()));
             groups.push(Group::gauge("ready", u64::from(control_counters.ready)));
             groups.push(Group::gauge("members", control_counters.members_by_state));
         }
--- a/crates/jasminecart-entry/src/platform.rs
+++ b/crates/jasminecart-entry/src/platform.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -52,7 +52,7 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("unexpected status {0}")]
     Status(StatusCode),
-    #[error("the response has no valid \"revision\" header")]
+    #[error("the response has no valid \"revision\" and \"epoch\" headers")]
     Revision,
     #[error("the document is not valid UTF-8")]
     Text,
@@ -122,7 +122,8 @@
         let (client, control) = (self.client.clone(), self.control.clone());
         let task = self.tasks.spawn(async move {
             tokio::time::sleep(client.take_delay()).await;
-            let path = format!("/v1/document?after={after}&wait_ms={WATCH_WAIT_MS}");
+            let (number, epoch) = (after.number(), after.epoch());
+            let path = format!("/v1/document?after={number}&epoch={epoch}&wait_ms={WATCH_WAIT_MS}");
             let timeout = CALL_TIMEOUT + Duration::from_millis(WATCH_WAIT_MS);
             let reply = client.document(&path, timeout, Some(after)).await;
             control.platform_reply(reply).await;
@@ -211,9 +212,7 @@
         match parts.status {
             StatusCode::NOT_MODIFIED => Ok(PlatformReply::Unchanged),
             StatusCode::OK => {
-                let revision = parts.headers.get("revision").ok_or(CallError::Revision)?;
-                let revision = revision.to_str().ok().and_then(|text| text.trim().parse().ok());
-                let revision = Revision(revision.ok_or(CallError::Revision)?);
+                let revision = revision(&parts.headers).ok_or(CallError::Revision)?;
                 let text = std::str::from_utf8(&body).map_err(|_| CallError::Text)?;
                 Ok(PlatformReply::Document { revision, text: Arc::from(text) })
             }
@@ -268,6 +267,14 @@
     }
 }
 
+/// Returns the revision that the headers of a response state. A platform that was never restored need not state the
+/// epoch.
+fn revision(headers: &HeaderMap) -> Option<Revision> {
+    let number = |value: &HeaderValue| value.to_str().ok()?.trim().parse().ok();
+    let epoch = headers.get("epoch").map_or(Some(0), number)?;
+    Revision::in_epoch(epoch, number(headers.get("revision")?)?)
+}
+
 /// An entry of the list as sent by the platform. Unknown fields are ignored, because the platform is not
 /// upgraded together with the entry VMs.
 #[derive(Debug, Deserialize)]
--- a/crates/jasminecart-entry/tests/lifecycle.rs
+++ b/crates/jasminecart-entry/tests/lifecycle.rs
@@ -103,6 +103,28 @@
     assert_eq!(metric(entry.addresses().operators, "document_revision").await, 2);
 }
 
+// Guards against documents that are not adopted any more after the platform came back from a copy and gives revisions out
+// again, and against the document of the copy that replaces a newer one (I8).
+#[tokio::test]
+async fn a_document_published_after_the_platform_was_restored_is_adopted() {
+    let [old, lost, new] = [(); 3].map(|()| Target::start(&[Script::Echo]));
+    let (old, lost, new) = (old.await, lost.await, new.await);
+    let platform = Platform::start(4, &document("", &[old.address])).await;
+    let entry = entry("vm-1", &platform, "").await;
+    platform.publish(5, &document("", &[lost.address]));
+    metric_reaches(&entry, "document_revision", 5).await;
+    platform.restore(4, &document("", &[old.address]));
+    metric_reaches(&entry, "entry_adoption_alerts_total", 1).await;
+    let response = exchange(entry.addresses().requests, request("POST", "/", "a claim")).await;
+    assert_eq!(response.unwrap().status, StatusCode::OK);
+    assert_eq!((old.received(), lost.received()), (0, 1), "the restored document is in force");
+    platform.publish(5, &document("", &[new.address]));
+    metric_reaches(&entry, "document_epoch", 1).await;
+    let response = exchange(entry.addresses().requests, request("POST", "/", "a claim")).await;
+    assert_eq!(response.unwrap().status, StatusCode::OK);
+    assert_eq!((old.received(), lost.received(), new.received()), (0, 1, 1));
+}
+
 // Guards against calling the platform in a tight loop when it immediately returns nothing new, is
 // unreachable, or returns something else. The limit is far above what backoff allows and far below what a
 // tight loop makes.
--- a/crates/jasminecart-entry/tests/support/mod.rs
+++ b/crates/jasminecart-entry/tests/support/mod.rs
@@ -35,7 +35,7 @@
 /// A fake platform service that serves one document and a list of VMs.
 pub struct Platform {
     pub address: SocketAddr,
-    document: watch::Sender<(u64, String)>,
+    document: watch::Sender<(u64, u64, String)>,
     vms: Arc<Mutex<String>>,
     pub calls: Arc<AtomicUsize>,
 }
@@ -44,7 +44,7 @@
     pub async fn start(revision: u64, document: &str) -> Platform {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (document, _) = watch::channel((revision, document.to_owned()));
+        let (document, _) = watch::channel((0, revision, document.to_owned()));
         let vms = Arc::new(Mutex::new("[]".to_owned()));
         let calls = Arc::new(AtomicUsize::new(0));
         let (watched, listed, counted) = (document.clone(), vms.clone(), calls.clone());
@@ -69,7 +69,16 @@
 
     /// Replaces the document.
     pub fn publish(&self, revision: u64, document: &str) {
-        self.document.send_replace((revision, document.to_owned()));
+        self.document.send_modify(|(_, current, text)| {
+            (*current, *text) = (revision, document.to_owned());
+        });
+    }
+
+    /// Restores the platform from a copy that has this document.
+    pub fn restore(&self, revision: u64, document: &str) {
+        self.document.send_modify(|(epoch, current, text)| {
+            (*epoch, *current, *text) = (*epoch + 1, revision, document.to_owned());
+        });
     }
 
     /// Replaces the list of VMs.
@@ -90,23 +99,28 @@
 
 async fn platform_response(
     req: Request<Incoming>,
-    mut document: watch::Receiver<(u64, String)>,
+    mut document: watch::Receiver<(u64, u64, String)>,
     vms: Arc<Mutex<String>>,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() == "/v1/vms" {
         return Response::new(Full::from(vms.lock().unwrap().clone()));
     }
     let query = req.uri().query().unwrap_or_default();
-    let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
-    if let Some(after) = after.map(|after| after.parse::<u64>().unwrap()) {
-        let wait = document.wait_for(|(revision, _)| *revision != after);
+    let parameter = |name: &str| {
+        let value = query.split('&').find_map(|pair| pair.strip_prefix(name));
+        value.map(|value| value.parse::<u64>().unwrap())
+    };
+    if let Some(after) = parameter("after=") {
+        let known = (parameter("epoch=").unwrap(), after);
+        let wait = document.wait_for(|(epoch, revision, _)| (*epoch, *revision) != known);
         if tokio::time::timeout(Duration::from_secs(30), wait).await.is_err() {
             let empty = Response::builder().status(StatusCode::NOT_MODIFIED);
             return empty.body(Full::default()).unwrap();
         }
     }
-    let (revision, text) = document.borrow().clone();
-    Response::builder().header("revision", revision).body(Full::from(text)).unwrap()
+    let (epoch, revision, text) = document.borrow().clone();
+    let response = Response::builder().header("revision", revision).header("epoch", epoch);
+    response.body(Full::from(text)).unwrap()
 }
 
 /// Returns a document with the service `claims` at the host `claims.test` and these targets.
--- a/crates/jasminecart-standin/src/platform.rs
+++ b/crates/jasminecart-standin/src/platform.rs
@@ -41,7 +41,7 @@
     Current,
     /// It closes every connection without a response.
     Unreachable,
-    /// It responds with an older revision, as after a restore, and with the list of that time.
+    /// It responds with an older revision, as a stale replica, and with the list of that time.
     Behind {
         /// The revision.
         revision: u64,
@@ -65,11 +65,20 @@
 struct State {
     /// Each published document with the list of VMs at that time. The revision is the index plus 1.
     published: Vec<(String, Vec<PlatformVm>)>,
+    /// How often the platform was restored from a copy.
+    epoch: u64,
     vms: Vec<PlatformVm>,
     mode: PlatformMode,
     counts: PlatformCounts,
 }
 
+/// A document with its revision.
+struct Offer {
+    epoch: u64,
+    revision: u64,
+    text: String,
+}
+
 #[derive(Debug)]
 struct Shared {
     state: Mutex<State>,
@@ -117,6 +126,16 @@
         revision
     }
 
+    /// Restores the documents as of a revision. Later ones are lost, and their revisions are given out again.
+    pub fn restore(&self, revision: u64) {
+        {
+            let mut state = self.shared.lock();
+            state.epoch += 1;
+            state.published.truncate(usize::try_from(revision).unwrap_or(usize::MAX));
+        }
+        self.shared.changes.send_replace(());
+    }
+
     /// Replaces the list of VMs.
     pub fn set_vms(&self, vms: Vec<PlatformVm>) {
         self.shared.lock().vms = vms;
@@ -148,12 +167,13 @@
         Ok(())
     }
 
-    /// Returns the revision and text of the document that the current mode offers.
-    fn offered(&self) -> Option<(u64, String)> {
+    /// Returns the document that the current mode offers.
+    fn offered(&self) -> Option<Offer> {
         let state = self.lock();
-        let revision = state.offered_revision();
+        let (epoch, revision) = (state.epoch, state.offered_revision());
         let index = usize::try_from(revision.checked_sub(1)?).ok()?;
-        state.published.get(index).map(|(text, _)| (revision, text.clone()))
+        let (text, _) = state.published.get(index)?;
+        Some(Offer { epoch, revision, text: text.clone() })
     }
 }
 
@@ -202,12 +222,14 @@
         return Ok(document_response(shared.offered()));
     };
     shared.lock().counts.watches += 1;
+    let epoch = parameter(query, "epoch").unwrap_or(0);
     let wait = Duration::from_millis(parameter(query, "wait_ms").unwrap_or(0)).min(MAX_WAIT);
     let mut changes = shared.changes.subscribe();
     let changed = async {
         loop {
             let offered = shared.offered();
-            if shared.check_reachable().is_err() || offered.as_ref().is_some_and(|o| o.0 > after) {
+            let is_newer = |offer: &Offer| (offer.epoch, offer.revision) > (epoch, after);
+            if shared.check_reachable().is_err() || offered.as_ref().is_some_and(is_newer) {
                 return offered;
             }
             if changes.changed().await.is_err() {
@@ -223,11 +245,12 @@
     }
 }
 
-fn document_response(offered: Option<(u64, String)>) -> Response<Body> {
+fn document_response(offered: Option<Offer>) -> Response<Body> {
     match offered {
-        Some((revision, text)) => {
+        Some(Offer { epoch, revision, text }) => {
             let mut response = Response::new(full_body(text));
             response.headers_mut().insert("revision", revision.into());
+            response.headers_mut().insert("epoch", epoch.into());
             response
         }
         None => status(StatusCode::NOT_FOUND),
--- a/crates/jasminecart-standin/tests/platform.rs
+++ b/crates/jasminecart-standin/tests/platform.rs
@@ -67,6 +67,21 @@
     assert_eq!(read(&platform, "/v1/document").await.1, Some(2));
 }
 
+// Guards against a watch that waits for a revision of before a restore, or takes one that was given out again for known.
+#[tokio::test]
+async fn a_restored_platform_gives_revisions_out_again_in_a_new_epoch() {
+    let platform = with_documents().await;
+    platform.restore(1);
+    let path = "/v1/document?after=2&epoch=0&wait_ms=1";
+    assert_eq!(read(&platform, path).await, (200, Some(1), "first".to_owned()));
+    assert_eq!(platform.publish("third"), 2);
+    assert_eq!(read(&platform, path).await, (200, Some(2), "third".to_owned()));
+    let response = get(platform.address(), path).await.unwrap();
+    assert_eq!(response.parts.headers["epoch"], "1");
+    let current = "/v1/document?after=2&epoch=1&wait_ms=1";
+    assert_eq!(read(&platform, current).await.0, 304);
+}
+
 #[tokio::test]
 async fn a_reverted_platform_offers_the_old_document_and_list() {
     let platform = Platform::start().await.unwrap();
