Bind routing tokens to the service address, so that open flows keep their service

Cause: a token was a hash of the target's name, and the router compared the target's service with the services that the route has now. After a route had moved to another service, all packets of its open flows were dropped as foreign-token, on every VM.

The hash of the name is computed once for each target. Tracked flows record an identity of the target that does not depend on the address, and the token: packets that echo it need no hash of the address. Equal tokens of two targets for one address are found when a target is selected, and counted as `ambiguous` (metric of the same name; the counter ambiguous_targets counted pairs when targets were added).

--- a/crates/jasminecart-bench/src/overload/sim.rs
+++ b/crates/jasminecart-bench/src/overload/sim.rs
@@ -325,7 +325,7 @@
         if !matches!(self.scenario.policy, Policy::Router | Policy::RouterWithoutRefusals) {
             return;
         }
-        let token = Some(RoutingToken::of(&target_name(flow.target)));
+        let token = Some(RoutingToken::of(&target_name(flow.target), flow.id.service));
         let (seq, ack) = (flow.seq, flow.ack);
         let segment = ClientSegment { flow: flow.id, kind, token, seq, ack, payload };
         flow.seq += u32::from(payload);
--- a/crates/jasminecart-bench/src/steering/sim.rs
+++ b/crates/jasminecart-bench/src/steering/sim.rs
@@ -360,7 +360,8 @@
             return;
         }
         let flow = &mut self.flows[number as usize];
-        let token = Some(RoutingToken::of(&target_name(flow.target, flow.incarnation)));
+        let token =
+            Some(RoutingToken::of(&target_name(flow.target, flow.incarnation), flow.id.service));
         let (seq, ack) = (flow.seq, flow.ack);
         let segment = ClientSegment { flow: flow.id, kind, token, seq, ack, payload };
         flow.seq += u32::from(payload);
--- a/crates/jasminecart-bench/src/token_packets.rs
+++ b/crates/jasminecart-bench/src/token_packets.rs
@@ -157,7 +157,7 @@
         sender.connect(forwarder.local_addr()?)?;
         forwarder.set_read_timeout(Some(Duration::from_secs(1)))?;
         receiver.set_nonblocking(true)?;
-        let token = |flow: u32| RoutingToken::of(&target(flow % TARGETS)).get();
+        let token = |flow: u32| RoutingToken::of(&target(flow % TARGETS), SERVICE).get();
         // A stride coprime to the number of flows visits each flow once in mixed order.
         let order = (0..flows).map(|number| number * 7_919 % flows);
         let packets = order.map(|flow| packet(flow, FLAG_ACK, token(flow), PAYLOAD)).collect();
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -3,7 +3,7 @@
 //! Where the encapsulation has a 32-bit field that both ends echo, every VM can route every packet of an
 //! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
-//! target of a new flow, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
+//! target of a new flow, `target_tokens` finds the target of a token, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
 //! overloaded services, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
 //! token.
@@ -17,6 +17,7 @@
 mod segment;
 mod silence;
 mod target_selector;
+mod target_tokens;
 mod token_router;
 mod verdict;
 
--- a/crates/jasminecart-core/src/flow/token/observed_target.rs
+++ b/crates/jasminecart-core/src/flow/token/observed_target.rs
@@ -4,7 +4,7 @@
 
 use super::refusal::Refusals;
 use super::relative_latency::RelativeLatency;
-use super::routing_token::RoutingToken;
+use super::routing_token::{RoutingToken, TargetKey};
 use super::silence::{Eligibility, SilenceDetector};
 use super::verdict::Destination;
 use crate::names::Name;
@@ -19,14 +19,12 @@
     pub(super) data_centre: Name,
     /// The index of its data centre in the router's `data_centres`.
     pub(super) data_centre_index: usize,
-    pub(super) token: RoutingToken,
+    pub(super) key: TargetKey,
     pub(super) label: u64,
     pub(super) address: SocketAddrV4,
     pub(super) slots: u32,
     /// Whether it accepts new flows.
     pub(super) accepts_flows: bool,
-    /// Whether another target has the same token. Such a target gets no new flows.
-    pub(super) ambiguous: bool,
     /// When the router starts to reset its flows.
     pub(super) delivery_ends_at: Millis,
     /// The end of its warm-up.
@@ -55,12 +53,11 @@
             service: record.service.clone(),
             data_centre: record.data_centre.clone(),
             data_centre_index,
-            token: RoutingToken::of(&record.name),
+            key: TargetKey::of(&record.name),
             label: record.label,
             address: record.address,
             slots: record.slots,
             accepts_flows: listed.accepts_flows(),
-            ambiguous: false,
             delivery_ends_at: listed.delivery_ends_at(),
             warm_up_until: now + listed.warmup_left(now),
             flows: 0,
@@ -72,14 +69,8 @@
         }
     }
 
-    pub(super) fn destination(&self) -> Destination {
-        Destination { address: self.address, label: self.label, token: self.token }
-    }
-
-    /// Copies from an earlier state whether another target has the same token.
-    pub(super) fn with_ambiguity(mut self, earlier: &ObservedTarget) -> ObservedTarget {
-        self.ambiguous = earlier.ambiguous;
-        self
+    pub(super) fn destination(&self, token: RoutingToken) -> Destination {
+        Destination { address: self.address, label: self.label, token }
     }
 
     /// Copies the observations from an earlier state of the same incarnation.
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -3,7 +3,7 @@
 //! No packet depends on the table for its route: a flow that is missing here is routed by its token all the
 //! same.
 
-use super::routing_token::RoutingToken;
+use super::routing_token::{RoutingToken, TargetId};
 use super::segment::{ClientSegment, FlowId};
 use super::silence::Retransmission;
 use crate::hashing::HashMap;
@@ -12,7 +12,9 @@
 /// The tracked state of one flow.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenFlow {
-    pub(super) target: RoutingToken,
+    pub(super) target: TargetId,
+    /// The token of the target for the flow's service address. A segment that echoes it needs no other check.
+    pub(super) token: RoutingToken,
     pub(super) last_segment_at: Millis,
     /// When the client sent the first packet of the request in progress. For the first request of a flow that
     /// is the opening.
@@ -69,9 +71,15 @@
 
 impl OpenFlow {
     /// Creates the state of a new flow. A client opens a flow for a request that it sends at once.
-    pub(super) fn opened(now: Millis, target: RoutingToken, segment: &ClientSegment) -> OpenFlow {
+    pub(super) fn opened(
+        now: Millis,
+        target: TargetId,
+        token: RoutingToken,
+        segment: &ClientSegment,
+    ) -> OpenFlow {
         OpenFlow {
             target,
+            token,
             last_segment_at: now,
             request_started_at: Some(now),
             waiting_since: None,
@@ -87,10 +95,16 @@
     }
 
     /// Creates the state of a flow that was opened through another VM.
-    pub(super) fn adopted(now: Millis, target: RoutingToken, segment: &ClientSegment) -> OpenFlow {
+    pub(super) fn adopted(
+        now: Millis,
+        target: TargetId,
+        token: RoutingToken,
+        segment: &ClientSegment,
+    ) -> OpenFlow {
         let started_at = (segment.payload > 0).then_some(now);
         OpenFlow {
             target,
+            token,
             last_segment_at: now,
             request_started_at: started_at,
             waiting_since: started_at,
--- a/crates/jasminecart-core/src/flow/token/target_selector.rs
+++ b/crates/jasminecart-core/src/flow/token/target_selector.rs
@@ -23,7 +23,9 @@
 
 /// What the selection of a target depends on besides the targets.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct SelectionCriteria {
+pub(super) struct SelectionCriteria<'a> {
+    /// The targets that can't get the flow, because another target has the same token for its service address.
+    pub(super) ambiguous: &'a [usize],
     /// The target that did not respond to an earlier copy of the same opening.
     pub(super) avoid: Option<usize>,
     /// Whether the flow may probe a silent target.
@@ -74,9 +76,10 @@
         now: Millis,
         targets: &[ObservedTarget],
         indices: &[usize],
-        criteria: SelectionCriteria,
+        criteria: SelectionCriteria<'_>,
     ) -> Option<Choice> {
-        let usable = |index: &&usize| targets[**index].accepts_flows && !targets[**index].ambiguous;
+        let usable =
+            |index: &&usize| targets[**index].accepts_flows && !criteria.ambiguous.contains(*index);
         let candidates = indices.iter().filter(usable).count();
         let eligible = |index: &&usize| {
             let eligibility = targets[**index].eligibility;
@@ -96,7 +99,7 @@
         now: Millis,
         targets: &[ObservedTarget],
         indices: impl Iterator<Item = &'a usize>,
-        criteria: SelectionCriteria,
+        criteria: SelectionCriteria<'_>,
     ) -> Option<(usize, Load)> {
         let mut best: Option<(usize, Load)> = None;
         let mut ties = 0u32;
@@ -116,7 +119,7 @@
         best
     }
 
-    fn load(&self, now: Millis, target: &ObservedTarget, criteria: SelectionCriteria) -> Load {
+    fn load(&self, now: Millis, target: &ObservedTarget, criteria: SelectionCriteria<'_>) -> Load {
         let visible = f64::from(target.active_requests) + IDLE_FLOW_LOAD * f64::from(target.flows);
         let waiting = visible + target.refusals.load(now);
         let warm_up = if now < target.warm_up_until { WARM_UP_FACTOR } else { 1.0 };
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -9,13 +9,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::observed_target::ObservedTarget;
-use super::open_flows::OpenFlows;
+use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
 use super::relative_latency::RouteMeans;
-use super::routing_token::RoutingToken;
 use super::segment::{ClientSegment, SegmentKind};
 use super::silence::{Eligibility, SilenceDetector};
 use super::target_selector::{Choice, SelectionCriteria, TargetSelector};
+use super::target_tokens::TargetTokens;
 use super::verdict::{
     CompletedRequest, Decision, DropCause, ResetCause, SuspicionChange, TokenCounters, Verdict,
 };
@@ -50,7 +50,7 @@
     routes: Option<Arc<Routes>>,
     list: TargetList,
     targets: Vec<ObservedTarget>,
-    by_token: HashMap<RoutingToken, usize>,
+    tokens: TargetTokens,
     by_service: HashMap<Name, Vec<usize>>,
     flows: OpenFlows,
     /// When the receive queue was last seen empty.
@@ -80,7 +80,7 @@
             routes: None,
             list: TargetList::default(),
             targets: Vec::new(),
-            by_token: HashMap::default(),
+            tokens: TargetTokens::default(),
             by_service: HashMap::default(),
             flows: OpenFlows::default(),
             queue_empty_at: Millis::ZERO,
@@ -283,25 +283,33 @@
         let may_probe = rule.repeatable == Repeatable::Always;
         self.update_eligibility(now, &service);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let criteria = SelectionCriteria {
-            avoid: earlier,
-            may_probe,
-            bytes: self.route_means.bytes(&rule.name),
+        let bytes = self.route_means.bytes(&rule.name);
+        let mut ambiguous = Vec::new();
+        let (choice, token) = loop {
+            let criteria =
+                SelectionCriteria { ambiguous: &ambiguous, avoid: earlier, may_probe, bytes };
+            let choice = self.selector.choose(now, &self.targets, indices, criteria);
+            let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
+            let token = self.targets[choice.index].key.token(segment.flow.service);
+            if !self.tokens.is_shared(choice.index, token, segment.flow.service) {
+                break (choice, token);
+            }
+            // A VM that does not know the flow could not tell which of the targets has it.
+            self.counters.ambiguous += 1;
+            ambiguous.push(choice.index);
         };
-        let choice = self.selector.choose(now, &self.targets, indices, criteria);
-        let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
         let target = &mut self.targets[choice.index];
         if target.eligibility == Eligibility::ProbeOnly {
             target.silence.on_probe(now);
             self.data_centres[target.data_centre_index].1.on_probe(now);
         }
-        let destination = target.destination();
+        let destination = target.destination(token);
         let instead_of = earlier.filter(|index| *index != choice.index);
         self.counters.openings += 1;
         self.counters.repeated_openings += u64::from(copy > 0);
         self.counters.moved_openings += u64::from(instead_of.is_some());
         self.record_decision(rule, choice, instead_of, version);
-        self.track_opening(now, segment, choice.index, instead_of.is_some());
+        self.track_opening(now, segment, choice.index, token, instead_of.is_some());
         Verdict::Forward(destination)
     }
 
@@ -382,23 +390,28 @@
         let Some(echoed) = segment.token else { return Verdict::Drop(DropCause::NoToken) };
         let mut tracked = self.flows.get_mut(&segment.flow);
         // If two targets responded to the opening, the client may echo the token of the other one.
-        let moved = tracked.as_deref().filter(|flow| flow.established && flow.opening_moved);
-        let token = moved.map_or(echoed, |flow| flow.target);
-        let Some(&index) = self.by_token.get(&token) else {
-            return Verdict::Drop(DropCause::UnknownToken);
+        let is_known =
+            |flow: &&OpenFlow| flow.token == echoed || (flow.established && flow.opening_moved);
+        let (token, found) = match tracked.as_deref().filter(is_known) {
+            Some(flow) => {
+                (flow.token, self.tokens.index_of(flow.target).ok_or(DropCause::UnknownToken))
+            }
+            None => (echoed, self.tokens.find(echoed, segment.flow.service)),
+        };
+        let index = match found {
+            Ok(index) => index,
+            Err(cause) => return Verdict::Drop(cause),
         };
         let target = &self.targets[index];
-        if !rule.allows(&target.service) {
-            return Verdict::Drop(DropCause::ForeignToken);
-        }
         if now >= target.delivery_ends_at {
             self.remove_flow(&segment.flow);
             return Verdict::Reset(ResetCause::TargetGone);
         }
-        let destination = target.destination();
-        let observation = match tracked.take_if(|flow| flow.target == token) {
+        let destination = target.destination(token);
+        let id = target.key.id();
+        let observation = match tracked.take_if(|flow| flow.target == id) {
             Some(flow) => flow.on_segment(now, segment),
-            None => self.track_flow(now, segment, index),
+            None => self.track_flow(now, segment, index, token),
         };
         if self.apply_observation(now, segment, index, rule, observation) {
             self.remove_flow(&segment.flow);
@@ -418,8 +431,8 @@
         let Some(index) = self.index_of(&target) else { return self.add_target(target) };
         let earlier = &self.targets[index];
         let target = match effect {
-            Effect::Restarted => target.with_ambiguity(earlier),
-            _ => target.with_ambiguity(earlier).with_observations(earlier),
+            Effect::Restarted => target,
+            _ => target.with_observations(earlier),
         };
         if let Some(indices) = self.by_service.get_mut(&earlier.service) {
             indices.retain(|other| *other != index);
@@ -430,24 +443,18 @@
 
     /// Returns the index at which a target is already in the tables.
     fn index_of(&self, target: &ObservedTarget) -> Option<usize> {
-        let &index = self.by_token.get(&target.token)?;
+        let index = self.tokens.index_of(target.key.id())?;
         if self.targets[index].name == target.name {
             return Some(index);
         }
-        // Another target has the same token.
+        // Another target's name has the same hash.
         self.targets.iter().position(|other| other.name == target.name)
     }
 
     /// Adds a target that is not in the tables yet.
-    fn add_target(&mut self, mut target: ObservedTarget) {
+    fn add_target(&mut self, target: ObservedTarget) {
         let index = self.targets.len();
-        if let Some(&other) = self.by_token.get(&target.token) {
-            target.ambiguous = true;
-            self.counters.ambiguous_targets += 1;
-            self.targets[other].ambiguous = true;
-        } else {
-            self.by_token.insert(target.token, index);
-        }
+        self.tokens.push(target.key);
         self.targets.push(target);
         self.add_candidate(index);
     }
@@ -464,9 +471,8 @@
     fn rebuild_tables(&mut self, now: Millis) {
         let earlier: HashMap<Name, ObservedTarget> =
             self.targets.drain(..).map(|target| (target.name.clone(), target)).collect();
-        self.by_token.clear();
+        self.tokens.clear();
         self.by_service.clear();
-        self.counters.ambiguous_targets = 0;
         let list = std::mem::take(&mut self.list);
         for listed in list.iter() {
             let data_centre_index = self.data_centre_index(&listed.record.data_centre);
--- a/crates/jasminecart-core/src/flow/token/token_router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/learning.rs
@@ -2,6 +2,7 @@
 
 use super::TokenRouter;
 use crate::flow::token::open_flows::{Observation, OpenFlow, Request};
+use crate::flow::token::routing_token::RoutingToken;
 use crate::flow::token::segment::{ClientSegment, FlowId, SegmentKind};
 use crate::flow::token::silence::Retransmission;
 use crate::flow::token::verdict::{CompletedRequest, SuspicionChange};
@@ -21,7 +22,7 @@
         }
         let earlier = self.flows.get_mut(flow)?;
         let (target, sent_at) = (earlier.target, earlier.last_segment_at);
-        let index = *self.by_token.get(&target)?;
+        let index = self.tokens.index_of(target)?;
         self.on_retransmission(now, index, sent_at, Retransmission::Opening);
         Some(index)
     }
@@ -58,6 +59,7 @@
         now: Millis,
         segment: &ClientSegment,
         index: usize,
+        token: RoutingToken,
         opening_moved: bool,
     ) {
         let earlier = self.remove_flow(&segment.flow);
@@ -65,7 +67,7 @@
             return;
         }
         let target = &mut self.targets[index];
-        let mut flow = OpenFlow::opened(now, target.token, segment);
+        let mut flow = OpenFlow::opened(now, target.key.id(), token, segment);
         flow.opening_moved = opening_moved
             || earlier.is_some_and(|earlier| !earlier.established && earlier.opening_moved);
         target.flows += 1;
@@ -117,24 +119,25 @@
         now: Millis,
         segment: &ClientSegment,
         index: usize,
+        token: RoutingToken,
     ) -> Observation {
-        self.resolve_target(&segment.flow, index);
-        let token = self.targets[index].token;
-        if let Some(flow) = self.flows.get_mut(&segment.flow).filter(|flow| flow.target == token) {
+        self.resolve_target(&segment.flow, index, token);
+        let target = self.targets[index].key.id();
+        if let Some(flow) = self.flows.get_mut(&segment.flow).filter(|flow| flow.target == target) {
             return flow.on_segment(now, segment);
         }
-        self.adopt(now, segment, index);
+        self.adopt(now, segment, index, token);
         Observation::default()
     }
 
     /// Assigns a flow whose opening went to several targets to the one whose token the client echoes.
-    fn resolve_target(&mut self, id: &FlowId, index: usize) {
-        let token = self.targets[index].token;
+    fn resolve_target(&mut self, id: &FlowId, index: usize, token: RoutingToken) {
+        let target = self.targets[index].key.id();
         let unresolved =
-            |flow: &&mut OpenFlow| flow.opening_moved && !flow.established && flow.target != token;
+            |flow: &&mut OpenFlow| flow.opening_moved && !flow.established && flow.target != target;
         let Some(flow) = self.flows.get_mut(id).filter(unresolved) else { return };
         let mut resolved = *flow;
-        resolved.target = token;
+        (resolved.target, resolved.token) = (target, token);
         self.remove_flow(id);
         self.targets[index].flows += 1;
         self.targets[index].active_requests += u32::from(resolved.request_started_at.is_some());
@@ -142,7 +145,7 @@
     }
 
     /// Starts to track a flow that was opened through another VM.
-    fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize) {
+    fn adopt(&mut self, now: Millis, segment: &ClientSegment, index: usize, token: RoutingToken) {
         self.remove_flow(&segment.flow);
         if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort)
             || self.flows.len() >= self.limits.max_flows
@@ -150,7 +153,7 @@
             return;
         }
         let target = &mut self.targets[index];
-        let flow = OpenFlow::adopted(now, target.token, segment);
+        let flow = OpenFlow::adopted(now, target.key.id(), token, segment);
         target.flows += 1;
         target.active_requests += u32::from(flow.request_started_at.is_some());
         self.flows.insert(segment.flow, flow);
@@ -193,7 +196,7 @@
     }
 
     pub(super) fn subtract_load(&mut self, flow: &OpenFlow) {
-        let Some(&index) = self.by_token.get(&flow.target) else { return };
+        let Some(index) = self.tokens.index_of(flow.target) else { return };
         let target = &mut self.targets[index];
         target.flows = target.flows.saturating_sub(1);
         if flow.request_started_at.is_some() {
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -27,11 +27,11 @@
     NotReady,
     /// The service of the route has no target, but live targets may not have registered again yet.
     NoTargetYet,
-    /// No known target has the token of the flow.
+    /// The token leads to no known target.
     UnknownToken,
     /// The packet carries no token, although it is not an opening.
     NoToken,
-    /// The token identifies a target that does not belong to the route.
+    /// The token leads to a known target, but is not the target's token for the service address.
     ForeignToken,
 }
 
@@ -121,6 +121,6 @@
     pub suspicions: u64,
     /// Responses so short that the target probably refused or failed the request.
     pub refusals: u64,
-    /// Targets that get no new flows, because another target has the same token.
-    pub ambiguous_targets: u64,
+    /// How often a target was not selected, because another one has the same token for the service address.
+    pub ambiguous: u64,
 }
--- a/crates/jasminecart-core/tests/token/routing.rs
+++ b/crates/jasminecart-core/tests/token/routing.rs
@@ -8,7 +8,8 @@
     rule, target,
 };
 use jasminecart_core::flow::token::{
-    DropCause, ResetCause, RoutingToken, SegmentKind, TokenRouter, TokenRouterLimits, Verdict,
+    ClientSegment, DropCause, ResetCause, RoutingToken, SegmentKind, TokenRouter,
+    TokenRouterLimits, Verdict,
 };
 use jasminecart_core::version::{
     Effect, REMOVAL_GRACE, REREGISTRATION_GRACE, Repeatable, StoreRevision, TOMBSTONE_RETENTION,
@@ -60,17 +61,18 @@
 }
 
 #[test_case(FEED, None, Verdict::Drop(DropCause::NoToken); "no token on an open flow")]
-#[test_case(FEED, Some("nobody"), Verdict::Drop(DropCause::UnknownToken); "unknown token")]
-#[test_case(FEED, Some("v1"), Verdict::Drop(DropCause::ForeignToken); "token of another service")]
-#[test_case(UPLOAD, Some("a1"), Verdict::Drop(DropCause::ForeignToken); "service of another token")]
+#[test_case(FEED, Some(("nobody", FEED)), Verdict::Drop(DropCause::UnknownToken); "unknown token")]
+#[test_case(FEED, Some(("v1", UPLOAD)), Verdict::Drop(DropCause::ForeignToken); "token of another service")]
+#[test_case(UPLOAD, Some(("a1", FEED)), Verdict::Drop(DropCause::ForeignToken); "service of another token")]
+#[test_case(FEED, Some(("a1", CLAIM)), Verdict::Drop(DropCause::ForeignToken); "token of another address")]
 fn a_forged_token_reaches_no_target(
     service: std::net::SocketAddrV4,
-    token: Option<&str>,
+    token: Option<(&str, std::net::SocketAddrV4)>,
     expected: Verdict,
 ) {
     let mut router = router([target("a1", "desk", "east", 1), target("v1", "vault", "east", 1)]);
     let mut segment = data(flow(1, service), &Name::new("a1"), 101, 1, 50);
-    segment.token = token.map(|name| RoutingToken::of(&Name::new(name)));
+    segment.token = token.map(|(name, at)| RoutingToken::of(&Name::new(name), at));
     assert_eq!(router.on_segment(Millis(10), &segment), expected);
 }
 
@@ -99,7 +101,7 @@
         router.change_target(Millis(10), TargetChange::Written(record));
     }
     let decision = open(&mut router, Millis(20), flow(1, FEED), 0);
-    assert_eq!(decision.choice.candidates as u64, TARGETS - router.counters().ambiguous_targets);
+    assert_eq!(decision.choice.candidates as u64, TARGETS);
     for number in 1..TARGETS {
         let mut record = target(&format!("a{number}"), "desk", "east", 10_000 + number);
         record.state = TargetState::Draining;
@@ -254,31 +256,6 @@
     assert_eq!(forwarded_label(late), Some(target(second.as_str(), "", "", 1).label));
 }
 
-/// Guards against packets at the wrong one of two targets whose names hash to the same token. A packet cannot
-/// distinguish them, so neither gets new flows.
-#[test]
-fn ambiguous_tokens_get_no_new_flows() {
-    let (first, second) = colliding_names();
-    let names = [first.as_str(), second.as_str(), "a1"];
-    let mut router = router(names.map(|name| target(name, "desk", "east", 1)));
-    for port in 1..50 {
-        assert_eq!(open(&mut router, Millis(10), flow(port, FEED), 0).target.as_str(), "a1");
-    }
-    assert_eq!(router.counters().ambiguous_targets, 1);
-}
-
-/// Finds two names with the same 32-bit token. By the birthday bound, a million names contain some.
-fn colliding_names() -> (String, String) {
-    let mut seen = std::collections::HashMap::new();
-    for number in 0..1_000_000 {
-        let name = format!("i-{number:08x}");
-        if let Some(other) = seen.insert(RoutingToken::of(&Name::new(&name)), name.clone()) {
-            return (other, name);
-        }
-    }
-    unreachable!("no two of a million names have the same 32-bit token");
-}
-
 #[test]
 fn shares_of_a_route_split_its_flows() {
     let mut router = router([target("a1", "desk", "east", 1), target("v1", "vault", "east", 1)]);
@@ -325,7 +302,7 @@
 
 proptest! {
     /// Guards against orders of segments, target changes and pauses in which the router forwards to a target of
-    /// another service or panics.
+    /// another service or panics. Clients replay tokens of their own address on others.
     #[test]
     fn random_segments_never_reach_a_foreign_service(
         steps in proptest::collection::vec((0u8..8, 1u16..12, 0u32..4, 0u64..900), 1..200)
@@ -339,10 +316,15 @@
             let name = Name::new(names[usize::from(port) % names.len()]);
             let address = [FEED, CLAIM, UPLOAD][choice as usize % 3];
             let flow = flow(port, address);
+            let issued_for = match service(name.as_str()) {
+                "desk" => [FEED, CLAIM][usize::from(port / 5) % 2],
+                _ => UPLOAD,
+            };
+            let token = Some(RoutingToken::of(&name, issued_for));
             let segment = match kind {
                 0 | 1 => opening(flow, choice),
-                2 | 3 => data(flow, &name, 101 + choice, choice, 50),
-                4 => finish(flow, &name, choice),
+                2 | 3 => ClientSegment { token, ..data(flow, &name, 101 + choice, choice, 50) },
+                4 => ClientSegment { token, ..finish(flow, &name, choice) },
                 5 => {
                     router.tick(now);
                     let record = target(name.as_str(), service(name.as_str()), "east", revision);
@@ -355,9 +337,8 @@
                     continue;
                 }
                 _ => {
-                    let mut segment = data(flow, &name, 101, 1, 0);
-                    segment.kind = SegmentKind::Abort;
-                    segment
+                    let kind = SegmentKind::Abort;
+                    ClientSegment { kind, token, ..data(flow, &name, 101, 1, 0) }
                 }
             };
             if let Verdict::Forward(destination) = router.on_segment(now, &segment) {
--- a/crates/jasminecart-core/tests/token/support.rs
+++ b/crates/jasminecart-core/tests/token/support.rs
@@ -1,5 +1,6 @@
 //! Services, targets and client segments for the tests of token routing.
 
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 
@@ -47,8 +48,15 @@
     }
 }
 
+/// Returns a label that differs between the targets of a test.
+pub(crate) fn label_of(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 pub(crate) fn target(name: &str, service: &str, data_centre: &str, revision: u64) -> TargetRecord {
-    let label = u64::from(RoutingToken::of(&Name::new(name)).get());
+    let label = label_of(name);
     TargetRecord {
         name: Name::new(name),
         label,
@@ -94,12 +102,12 @@
 
 /// Returns a data segment of an open flow that echoes the token of `target`.
 pub(crate) fn data(flow: FlowId, target: &Name, seq: u32, ack: u32, payload: u16) -> ClientSegment {
-    let token = Some(RoutingToken::of(target));
+    let token = Some(RoutingToken::of(target, flow.service));
     ClientSegment { flow, kind: SegmentKind::Data, token, seq, ack, payload }
 }
 
 pub(crate) fn finish(flow: FlowId, target: &Name, ack: u32) -> ClientSegment {
-    let token = Some(RoutingToken::of(target));
+    let token = Some(RoutingToken::of(target, flow.service));
     ClientSegment { flow, kind: SegmentKind::Finish, token, seq: 500, ack, payload: 0 }
 }
 
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -336,6 +336,7 @@
         let metrics = &self.shared.metrics;
         metrics.flows.set(self.router.tracked_flows() as i64);
         metrics.suspects.set(self.router.suspects() as i64);
+        metrics.ambiguous.set(self.router.counters().ambiguous as i64);
         metrics.overloaded_services.set(self.router.overloaded_services() as i64);
         metrics.targets.set(self.router.targets().usable_count() as i64);
         metrics.directory_age_ms.set(self.shared.readiness.age(now).get() as i64);
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -48,6 +48,7 @@
     pub(crate) openings: Family<RouteLabel, Counter>,
     pub(crate) repeated_openings: Counter,
     pub(crate) moved_openings: Counter,
+    pub(crate) ambiguous: Gauge,
     pub(crate) resets: Family<CauseLabel, Counter>,
     pub(crate) drops: Family<CauseLabel, Counter>,
     pub(crate) send_failures: Counter,
@@ -105,6 +106,10 @@
             openings: register!(openings, "Openings that got a target, by route"),
             repeated_openings: register!(repeated_openings, "Openings that clients repeated"),
             moved_openings: register!(moved_openings, "Repeated openings sent to another target"),
+            ambiguous: register!(
+                ambiguous,
+                "Targets not selected because another has the same token for the address"
+            ),
             resets: register!(resets, "Resets sent to clients, by cause"),
             drops: register!(drops, "Datagrams dropped, by cause"),
             send_failures: register!(send_failures, "Datagrams that the system did not take"),
