Keep new flows away from the data centres that operators evacuate

Deltas and full states between VMs carry evacuations; the peer protocol becomes version 5, because today's is 4 already. The router leaves the targets of an evacuated data centre out of the candidates of their services. Changes are logged as evacuation-changed; the gauges evacuations and evacuated_targets show the state.

--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,5 +1,6 @@
 //! The router of packets whose encapsulation carries a routing token.
 
+mod evacuation;
 mod learning;
 
 use std::collections::HashSet;
@@ -23,7 +24,8 @@
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 use crate::version::{
-    Effect, Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetList, TargetRecord,
+    Effect, Evacuations, Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetList,
+    TargetRecord,
 };
 
 /// Bounds of a [`TokenRouter`].
@@ -49,6 +51,7 @@
     limits: TokenRouterLimits,
     routes: Option<Arc<Routes>>,
     list: TargetList,
+    evacuations: Evacuations,
     targets: Vec<ObservedTarget>,
     by_token: HashMap<RoutingToken, usize>,
     by_service: HashMap<Name, Vec<usize>>,
@@ -67,6 +70,7 @@
     decision: Option<Decision>,
     completed_request: Option<CompletedRequest>,
     suspicion_changes: Vec<SuspicionChange>,
+    lapsed_evacuations: Vec<Name>,
     counters: TokenCounters,
 }
 
@@ -79,6 +83,7 @@
             limits,
             routes: None,
             list: TargetList::default(),
+            evacuations: Evacuations::default(),
             targets: Vec::new(),
             by_token: HashMap::default(),
             by_service: HashMap::default(),
@@ -93,6 +98,7 @@
             decision: None,
             completed_request: None,
             suspicion_changes: Vec::new(),
+            lapsed_evacuations: Vec::new(),
             counters: TokenCounters::default(),
         }
     }
@@ -119,6 +125,7 @@
     /// Records when the store last confirmed this VM's view, directly or through a peer.
     pub fn set_confirmed(&mut self, at: Millis) {
         self.list.set_confirmed(at);
+        self.evacuations.set_confirmed(at);
     }
 
     /// Replaces the whole list of targets with one that was read at `revision`. Returns what changed, and which
@@ -151,6 +158,7 @@
         if self.is_ready() {
             self.overload.tick(now);
         }
+        self.expire_evacuations(now);
         let expired = self.list.expire(now);
         for name in &expired.removed {
             self.update_target(now, name, Effect::Changed);
@@ -452,10 +460,11 @@
         self.add_candidate(index);
     }
 
-    /// Adds a target to the candidates for new flows of its service, if it accepts any.
+    /// Adds a target to the candidates for new flows of its service, if it accepts any and its data
+    /// centre is not evacuated.
     fn add_candidate(&mut self, index: usize) {
         let target = &self.targets[index];
-        if target.accepts_flows {
+        if target.accepts_flows && !self.evacuations.is_evacuated(&target.data_centre) {
             self.by_service.entry(target.service.clone()).or_default().push(index);
         }
     }
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -1,9 +1,10 @@
-//! Versioned configuration: the environment document, the routes, the list of targets, and how VMs
-//! receive new revisions of them from the platform and from peers.
+//! Versioned configuration: the environment document, the routes, the list of targets, the evacuations,
+//! and how VMs receive new revisions of them from the platform and from peers.
 
 mod adoption;
 mod compare;
 mod document;
+mod evacuations;
 mod parse;
 mod routes;
 mod sharing;
@@ -19,6 +20,9 @@
     Class, Digest, Document, DocumentErrors, Limits, Protocol, Revision, Service, ServiceAddress,
     Target, TargetState, Tenant,
 };
+pub use self::evacuations::{
+    Evacuation, EvacuationChange, EvacuationEffect, EvacuationState, Evacuations, MAX_EVACUATIONS,
+};
 pub use self::routes::{Repeatable, RouteRule, Routes};
 pub use self::sharing::{
     SharedChanges, SharedItem, Sharing, SharingCounters, SharingLimits, SharingMessage,
--- a/crates/jasminecart-core/src/version/sharing/delta.rs
+++ b/crates/jasminecart-core/src/version/sharing/delta.rs
@@ -77,7 +77,13 @@
             (SharedItem::RouteGone(address), Some(routes)) => {
                 routes.by_address.remove(address);
             }
-            (SharedItem::Target(_) | SharedItem::Route(..) | SharedItem::RouteGone(_), _) => {}
+            (
+                SharedItem::Target(_)
+                | SharedItem::Evacuation(_)
+                | SharedItem::Route(..)
+                | SharedItem::RouteGone(_),
+                _,
+            ) => {}
         }
     }
     Ok(next.map(Arc::new))
--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -6,7 +6,7 @@
 
 use crate::names::VmId;
 use crate::time::Millis;
-use crate::version::{RouteRule, Routes, StoreRevision, TargetChange};
+use crate::version::{EvacuationChange, RouteRule, Routes, StoreRevision, TargetChange};
 
 /// Limits and intervals of [`super::Sharing`].
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +146,8 @@
     Route(std::net::SocketAddrV4, RouteRule),
     /// A service address no longer has a rule.
     RouteGone(std::net::SocketAddrV4),
+    /// The evacuation of a data centre was requested or withdrawn.
+    Evacuation(EvacuationChange),
 }
 
 /// A message between two VMs of one data centre.
@@ -235,9 +237,12 @@
 pub struct SharedChanges {
     /// The VM that sent them.
     pub from: VmId,
+    /// The changes of evacuations.
+    pub evacuations: Vec<EvacuationChange>,
     /// The changes of targets.
     pub targets: Vec<TargetChange>,
-    /// Whether `targets` is the full state, so that every other target is removed.
+    /// Whether `evacuations` and `targets` are the full state, so that all others are withdrawn or
+    /// removed.
     pub complete: bool,
     /// The new routes, if they changed.
     pub routes: Option<Arc<Routes>>,
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -28,14 +28,16 @@
 use self::outage::StoreOutage;
 use self::parts::Assembly;
 use self::transfers::{FIRST_REVISION, Transfers};
-use super::{Routes, StoreRevision, TargetList};
+use super::{Evacuations, Routes, StoreRevision, TargetList};
 use crate::names::VmId;
 use crate::process::{Introduction, Member, Members, rendezvous};
 use crate::time::Millis;
 
-/// This VM's view of targets and routes, borrowed from the caller.
+/// This VM's view of evacuations, targets and routes, borrowed from the caller.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
+    /// The evacuations.
+    pub evacuations: &'a Evacuations,
     /// The targets.
     pub targets: &'a TargetList,
     /// The current routes, if any are known.
@@ -514,17 +516,17 @@
             self.first_state.set_joined(now);
         }
         self.changed_at = upto;
-        let targets = items.into_iter().filter_map(|item| match item {
-            SharedItem::Target(change) => Some(change),
-            SharedItem::Routes { .. } | SharedItem::Route(..) | SharedItem::RouteGone(_) => None,
-        });
-        let changes = SharedChanges {
-            from: from.clone(),
-            targets: targets.collect(),
-            complete,
-            routes,
-            upto,
-        };
+        let (mut evacuations, mut targets) = (Vec::new(), Vec::new());
+        for item in items {
+            match item {
+                SharedItem::Target(change) => targets.push(change),
+                SharedItem::Evacuation(change) => evacuations.push(change),
+                // Applied above.
+                SharedItem::Routes { .. } | SharedItem::Route(..) | SharedItem::RouteGone(_) => {}
+            }
+        }
+        let from = from.clone();
+        let changes = SharedChanges { from, evacuations, targets, complete, routes, upto };
         if let Some(routes) = &changes.routes {
             self.history.add(routes.clone());
         }
@@ -557,8 +559,9 @@
         }
         let same_epoch = after.epoch == self.position.epoch;
         let after = if same_epoch { after } else { StoreRevision::NONE };
+        let evacuations = view.evacuations.changes_after(after).map(SharedItem::Evacuation);
         let targets = view.targets.changes_after(now, after).map(SharedItem::Target);
-        let mut items: Vec<SharedItem> = targets.collect();
+        let mut items: Vec<SharedItem> = evacuations.chain(targets).collect();
         if let Some(routes) = view.routes.filter(|routes| routes.revision > after) {
             items.extend(self.history.delta(routes, after));
         }
--- a/crates/jasminecart-core/src/version/sharing/parts.rs
+++ b/crates/jasminecart-core/src/version/sharing/parts.rs
@@ -43,6 +43,7 @@
         }
         SharedItem::Target(TargetChange::Deleted { name, .. }) => FIXED_BYTES + name.as_str().len(),
         SharedItem::Routes { .. } | SharedItem::RouteGone(_) => FIXED_BYTES,
+        SharedItem::Evacuation(change) => 2 * FIXED_BYTES + change.data_centre().as_str().len(),
         SharedItem::Route(address, rule) => max_rule_size(address, rule),
     }
 }
--- a/crates/jasminecart-core/tests/token/data_centre.rs
+++ b/crates/jasminecart-core/tests/token/data_centre.rs
@@ -1,13 +1,14 @@
 //! A simulation of `Sharing` in the VMs of a data centre, with the store that they read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use jasminecart_core::process::{Introduction, Member, MemberState, Members, PeerAddress, VmHint};
 use jasminecart_core::version::{
-    Revision, Routes, SharedChanges, Sharing, SharingLimits, SharingMessage, SharingStep, Source,
-    StoreRevision, TargetChange, TargetList, TargetRecord, TransferFailure, View,
+    EvacuationChange, Evacuations, Revision, Routes, SharedChanges, Sharing, SharingLimits,
+    SharingMessage, SharingStep, Source, StoreRevision, TargetChange, TargetList, TargetRecord,
+    TransferFailure, View,
 };
 use jasminecart_core::{Incarnation, Millis, Name, VmId};
 
@@ -21,6 +22,7 @@
 pub(crate) struct Vm {
     pub(crate) sharing: Sharing,
     pub(crate) targets: TargetList,
+    pub(crate) evacuations: Evacuations,
     pub(crate) routes: Option<Arc<Routes>>,
     /// Whether the store responds to this VM.
     pub(crate) reaches_store: bool,
@@ -33,6 +35,7 @@
 
 /// The content of the store at an earlier time.
 pub(crate) struct Backup {
+    evacuations: Vec<EvacuationChange>,
     targets: Vec<TargetRecord>,
     routes: Arc<Routes>,
     number: u64,
@@ -43,6 +46,8 @@
     pub(crate) now: Millis,
     pub(crate) vms: BTreeMap<VmId, Vm>,
     store: Vec<(StoreRevision, TargetChange)>,
+    /// The history of the requested evacuations.
+    evacuations: Vec<EvacuationChange>,
     /// The revision at which the store was last restored from a backup.
     restored_at: StoreRevision,
     pub(crate) routes: Arc<Routes>,
@@ -70,6 +75,7 @@
             let vm = Vm {
                 sharing,
                 targets: TargetList::default(),
+                evacuations: Evacuations::default(),
                 routes: None,
                 reaches_store: true,
                 running: true,
@@ -82,6 +88,7 @@
             now: Millis(1_000),
             vms: vms.collect(),
             store: Vec::new(),
+            evacuations: Vec::new(),
             restored_at: StoreRevision::NONE,
             routes: Arc::new(routes(1)),
             messages: Vec::new(),
@@ -120,7 +127,8 @@
 
     pub(crate) fn revision(&self) -> StoreRevision {
         let targets = self.store.last().map_or(StoreRevision::NONE, |(revision, _)| *revision);
-        targets.max(self.routes.revision).max(self.restored_at)
+        let evacuations = self.evacuations.iter().map(EvacuationChange::revision).max();
+        targets.max(self.routes.revision).max(self.restored_at).max(evacuations.unwrap_or_default())
     }
 
     fn next_revision(&self) -> StoreRevision {
@@ -131,6 +139,7 @@
     /// Returns the content of the store, for [`DataCentre::restore`].
     pub(crate) fn backup(&self) -> Backup {
         Backup {
+            evacuations: evacuations_in(&self.evacuations),
             targets: targets_in(&self.store),
             routes: self.routes.clone(),
             number: self.revision().number,
@@ -149,6 +158,12 @@
             (record.revision, TargetChange::Written(record))
         });
         self.store = written.collect();
+        let requested = backup.evacuations.into_iter().map(|change| {
+            let mut revision = change.revision();
+            renumber(&mut revision);
+            EvacuationChange::Requested { data_centre: change.data_centre().clone(), revision }
+        });
+        self.evacuations = requested.collect();
         for vm in self.vms.values_mut() {
             vm.watch_ends = None;
         }
@@ -167,6 +182,33 @@
         ));
     }
 
+    /// Requests the evacuation of a data centre, or withdraws it.
+    pub(crate) fn evacuate(&mut self, data_centre: &str, requested: bool) {
+        let (data_centre, revision) = (Name::new(data_centre), self.next_revision());
+        self.evacuations.push(if requested {
+            EvacuationChange::Requested { data_centre, revision }
+        } else {
+            EvacuationChange::Withdrawn { data_centre, revision }
+        });
+    }
+
+    /// Returns the data centres whose evacuation the store requests.
+    pub(crate) fn requested(&self) -> BTreeSet<Name> {
+        evacuations_in(&self.evacuations)
+            .iter()
+            .map(|change| change.data_centre().clone())
+            .collect()
+    }
+
+    /// Replaces a VM by one that has no state.
+    pub(crate) fn restart(&mut self, id: &VmId, limits: SharingLimits) {
+        let vm = self.vms.get_mut(id).expect("a VM");
+        vm.sharing = Sharing::new(id.clone(), limits);
+        (vm.targets, vm.routes) = (TargetList::default(), None);
+        (vm.evacuations, vm.watch_ends) = (Evacuations::default(), None);
+        self.set_members();
+    }
+
     pub(crate) fn configure(&mut self, change: impl FnOnce(&mut Routes)) {
         let mut routes = self.routes.as_ref().clone();
         routes.revision = self.next_revision();
@@ -201,6 +243,8 @@
         }
         vm.targets.set_confirmed(now - vm.sharing.age(now));
         vm.targets.expire(now);
+        vm.evacuations.set_confirmed(now - vm.sharing.age(now));
+        vm.evacuations.expire(now);
         let mut steps = vm.sharing.tick(now);
         let position = vm.sharing.position();
         let reads_all = position == StoreRevision::NONE || position.epoch < head.epoch;
@@ -223,17 +267,27 @@
                     vm.calls += 1;
                     vm.watch_ends = Some(now + WATCH_WAIT);
                     if reads_all {
+                        let requested = evacuations_in(&self.evacuations);
+                        vm.evacuations.replace(now, requested, head);
                         vm.targets.replace(now, targets_in(&self.store), head);
                     } else {
                         let newer = self.store.iter().filter(|(revision, _)| *revision > position);
                         for (_, change) in newer {
                             vm.targets.apply(now, change.clone());
                         }
+                        let newer = self.evacuations.iter();
+                        for change in newer.filter(|change| change.revision() > position) {
+                            vm.evacuations.apply(now, change.clone());
+                        }
                     }
                     if vm.routes.as_ref().is_none_or(|routes| self.routes.supersede(routes)) {
                         vm.routes = Some(self.routes.clone());
                     }
-                    let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+                    let view = View {
+                        evacuations: &vm.evacuations,
+                        targets: &vm.targets,
+                        routes: vm.routes.as_ref(),
+                    };
                     let changed = position < head;
                     steps.extend(vm.sharing.on_store_response(now, head, changed, view));
                 }
@@ -264,11 +318,16 @@
         let now = self.now;
         let source = self.vms.get_mut(from).filter(|vm| vm.running);
         let response = source.map(|vm| {
-            let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+            let view = View {
+                evacuations: &vm.evacuations,
+                targets: &vm.targets,
+                routes: vm.routes.as_ref(),
+            };
             vm.sharing.on_fetch(now, to, after, view)
         });
         let vm = self.vms.get_mut(to).expect("a VM");
-        let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+        let view =
+            View { evacuations: &vm.evacuations, targets: &vm.targets, routes: vm.routes.as_ref() };
         let steps = match response {
             Some(message) => vm.sharing.on_transfer(now, from, message, view),
             None => vm.sharing.on_transfer_failure(now, from, TransferFailure::Failed),
@@ -280,9 +339,13 @@
         let now = self.now;
         let vm = self.vms.get_mut(id).expect("a VM");
         if changes.complete {
+            vm.evacuations.replace(now, changes.evacuations, changes.upto);
             let records = changes.targets.into_iter().filter_map(TargetChange::into_written);
             vm.targets.replace(now, records.collect(), changes.upto);
         } else {
+            for change in changes.evacuations {
+                vm.evacuations.apply(now, change);
+            }
             for change in changes.targets {
                 vm.targets.apply(now, change);
             }
@@ -300,7 +363,11 @@
         while let Some((from, to, message)) = self.messages.pop() {
             let now = self.now;
             let Some(vm) = self.vms.get_mut(&to).filter(|vm| vm.running) else { continue };
-            let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+            let view = View {
+                evacuations: &vm.evacuations,
+                targets: &vm.targets,
+                routes: vm.routes.as_ref(),
+            };
             let steps = vm.sharing.on_message(now, &from, message, view);
             self.execute(&to, steps);
         }
@@ -328,6 +395,7 @@
         };
         for (id, vm) in self.vms.iter().filter(|(_, vm)| vm.running) {
             assert_eq!(usable(&vm.targets), usable(&expected), "targets of {id}");
+            assert_eq!(evacuated(vm), self.requested(), "evacuations of {id}");
             let routes = vm.routes.as_ref().expect("routes");
             assert_eq!(routes.by_address, self.routes.by_address, "routes of {id}");
             assert_eq!(routes.revision, self.routes.revision, "revision of {id}");
@@ -335,6 +403,23 @@
     }
 }
 
+/// Returns the data centres that a VM takes as evacuated.
+pub(crate) fn evacuated(vm: &Vm) -> BTreeSet<Name> {
+    let known = vm.evacuations.iter().filter(|(_, evacuation)| evacuation.is_in_force());
+    known.map(|(data_centre, _)| data_centre.clone()).collect()
+}
+
+/// Returns the requests that are in force after some changes.
+fn evacuations_in(changes: &[EvacuationChange]) -> Vec<EvacuationChange> {
+    let mut latest: BTreeMap<&Name, &EvacuationChange> = BTreeMap::new();
+    for change in changes {
+        latest.insert(change.data_centre(), change);
+    }
+    let requested =
+        |change: &&EvacuationChange| matches!(change, EvacuationChange::Requested { .. });
+    latest.into_values().filter(requested).cloned().collect()
+}
+
 /// Returns the records of the targets that are registered after some changes.
 fn targets_in(changes: &[(StoreRevision, TargetChange)]) -> Vec<TargetRecord> {
     let mut targets: BTreeMap<&Name, &TargetChange> = BTreeMap::new();
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -2,6 +2,7 @@
 //! against.
 
 mod data_centre;
+mod evacuation;
 mod overload;
 mod refusing_targets;
 mod restored_store;
--- a/crates/jasminecart-core/tests/token/restored_store.rs
+++ b/crates/jasminecart-core/tests/token/restored_store.rs
@@ -173,7 +173,8 @@
     let now = centre.now + Millis(700);
     let vm = centre.vms.values_mut().next().expect("a VM");
     let age = vm.sharing.age(now);
-    let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+    let view =
+        View { evacuations: &vm.evacuations, targets: &vm.targets, routes: vm.routes.as_ref() };
     assert!(vm.sharing.on_store_response(now, old, true, view).is_empty());
     assert_eq!(vm.sharing.age(now), age);
     assert_eq!(vm.sharing.position().epoch, old.epoch + 1);
--- a/crates/jasminecart-core/tests/token/startup.rs
+++ b/crates/jasminecart-core/tests/token/startup.rs
@@ -9,8 +9,8 @@
 use crate::support::{routes, target};
 use jasminecart_core::process::{Discovery, DiscoveryMessage, PeerAddress, VmHint};
 use jasminecart_core::version::{
-    Sharing, SharingLimits, SharingMessage, SharingStep, Source, StoreRevision, TargetChange,
-    TargetList, TransferFailure, View,
+    Evacuations, Sharing, SharingLimits, SharingMessage, SharingStep, Source, StoreRevision,
+    TargetChange, TargetList, TransferFailure, View,
 };
 use jasminecart_core::{Millis, VmId};
 use rand::{RngExt as _, SeedableRng as _};
@@ -299,7 +299,11 @@
         let records = (0..TARGETS).map(|index| target(&format!("t{index}"), "desk", "dc-0", 1));
         vm.targets.replace(now, records.collect(), StoreRevision::new(0, 1));
         vm.routes = Some(Arc::new(routes(1)));
-        let view = View { targets: &vm.targets, routes: vm.routes.as_ref() };
+        let view = View {
+            evacuations: &Evacuations::default(),
+            targets: &vm.targets,
+            routes: vm.routes.as_ref(),
+        };
         let steps = vm.sharing.on_store_response(now, StoreRevision::new(0, 1), true, view);
         self.set_loaded(number);
         self.execute(number, steps);
@@ -382,7 +386,11 @@
         let (now, to) = (self.now, self.vms[vm].id.clone());
         let from = &mut self.vms[source];
         from.served += 1;
-        let view = View { targets: &from.targets, routes: from.routes.as_ref() };
+        let view = View {
+            evacuations: &Evacuations::default(),
+            targets: &from.targets,
+            routes: from.routes.as_ref(),
+        };
         let message = from.sharing.on_fetch(now, &to, after, view);
         let bytes = match message {
             SharingMessage::Share { .. } => PEER_BYTES,
@@ -399,7 +407,11 @@
     fn on_response(&mut self, vm: usize, source: usize, message: Option<SharingMessage>) {
         let (now, from) = (self.now, self.vms[source].id.clone());
         let to = &mut self.vms[vm];
-        let view = View { targets: &to.targets, routes: to.routes.as_ref() };
+        let view = View {
+            evacuations: &Evacuations::default(),
+            targets: &to.targets,
+            routes: to.routes.as_ref(),
+        };
         let steps = match message {
             Some(message) => to.sharing.on_transfer(now, &from, message, view),
             None => to.sharing.on_transfer_failure(now, &from, TransferFailure::Failed),
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -281,7 +281,7 @@
 
 fn view<E: Encapsulation>(forwarder: &Forwarder<E>) -> View<'_> {
     let router = forwarder.router();
-    View { targets: router.targets(), routes: router.routes() }
+    View { evacuations: router.evacuations(), targets: router.targets(), routes: router.routes() }
 }
 
 fn source_name(source: Source) -> &'static str {
--- a/crates/jasminecart-forward/src/edges.rs
+++ b/crates/jasminecart-forward/src/edges.rs
@@ -6,7 +6,9 @@
 
 use jasminecart_core::flow::token::{ClientSegment, RoutingToken};
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Routes, StoreRevision, TargetChange, TargetRecord};
+use jasminecart_core::version::{
+    EvacuationChange, Routes, StoreRevision, TargetChange, TargetRecord,
+};
 use thiserror::Error;
 
 /// Why a datagram is not a valid client segment.
@@ -47,6 +49,8 @@
 pub struct Snapshot {
     /// The routes, if the store has valid ones.
     pub routes: Option<Routes>,
+    /// The requested evacuations.
+    pub evacuations: Vec<EvacuationChange>,
     /// The targets.
     pub targets: Vec<TargetRecord>,
     /// The revision from which a watch continues.
@@ -60,6 +64,8 @@
 pub struct Changes {
     /// The newest routes, if they changed.
     pub routes: Option<Routes>,
+    /// Changes of evacuations, oldest first.
+    pub evacuations: Vec<EvacuationChange>,
     /// Changes of targets, oldest first.
     pub targets: Vec<TargetChange>,
     /// The revision from which the next watch continues.
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -6,7 +6,7 @@
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
-use jasminecart_core::version::{Effect, Routes, StoreRevision};
+use jasminecart_core::version::{Effect, Evacuation, EvacuationEffect, Routes, StoreRevision};
 use log::{debug, info, warn};
 
 use crate::edges::{SegmentError, Snapshot};
@@ -199,6 +199,39 @@
     );
 }
 
+/// Logs a change of an evacuation. The store and the peers report each change once, so that the volume
+/// is one line per change.
+pub(crate) fn evacuation_changed(
+    now: Millis,
+    data_centre: &Name,
+    change: &'static str,
+    evacuation: Option<&Evacuation>,
+    source: &str,
+) {
+    let revision = evacuation.map(|known| known.revision).unwrap_or_default();
+    let in_force = evacuation.is_some_and(Evacuation::is_in_force);
+    let since_ms = evacuation.map_or(0, |known| now.since(known.began_at).get());
+    info!(
+        event = "evacuation-changed", data_centre = data_centre.as_str(), change = change,
+        in_force = in_force, since_ms = since_ms, epoch = revision.epoch,
+        revision = revision.number, source = source;
+        "the evacuation of a data centre changed; while it is in force its targets get no new flows"
+    );
+}
+
+/// Returns the name of an effect in the log, or `None` if it is not logged.
+pub(crate) fn evacuation_label(effect: EvacuationEffect) -> Option<&'static str> {
+    match effect {
+        EvacuationEffect::Began => Some("requested"),
+        EvacuationEffect::Doubted => Some("missing-after-restore"),
+        EvacuationEffect::Confirmed => Some("requested-again"),
+        EvacuationEffect::Ended => Some("withdrawn"),
+        EvacuationEffect::Outdated => Some("outdated"),
+        EvacuationEffect::Refused => Some("refused"),
+        EvacuationEffect::Unchanged => None,
+    }
+}
+
 pub(crate) fn flow(flow: &FlowId) -> String {
     format!("{}>{}", flow.client, flow.service)
 }
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -11,7 +11,8 @@
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
-    Effect, Routes, SharedChanges, StoreRevision, TargetChange, TargetRecord,
+    Effect, EvacuationChange, EvacuationEffect, Routes, SharedChanges, StoreRevision, TargetChange,
+    TargetRecord,
 };
 use log::{info, warn};
 use tokio::net::UdpSocket;
@@ -204,11 +205,14 @@
     pub(crate) fn apply_snapshot(&mut self, now: Millis, snapshot: Snapshot) -> bool {
         self.shared.metrics.refused_entries.inc_by(snapshot.refused);
         events::store_read(&snapshot);
+        // Evacuations first, so that no target of an evacuated data centre gets in use.
+        let evacuated =
+            self.replace_evacuations(now, snapshot.evacuations, snapshot.revision, "store");
         let replaced = self.replace_targets(now, snapshot.targets, snapshot.revision, "store");
         let adopted =
             snapshot.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
         self.advance_to(now, snapshot.revision);
-        adopted || replaced
+        adopted || replaced || evacuated
     }
 
     /// Replaces all targets. Returns whether that changed any. The first targets of the process are
@@ -241,20 +245,23 @@
     /// Applies changes from a watch of the store. Returns whether anything changed.
     pub(crate) fn apply_changes(&mut self, now: Millis, changes: Changes) -> bool {
         self.shared.metrics.refused_entries.inc_by(changes.refused);
+        let evacuated = self.apply_evacuations(now, changes.evacuations, "store");
         let applied = self.apply_targets(now, changes.targets, changes.revision, "store");
         let adopted =
             changes.routes.is_some_and(|routes| self.adopt_routes(Arc::new(routes), "store"));
         self.advance_to(now, changes.revision);
-        applied || adopted
+        applied || adopted || evacuated
     }
 
     /// Applies changes that a peer sent.
     pub(crate) fn apply_shared(&mut self, now: Millis, changes: SharedChanges) {
         let source = changes.from.name;
         if changes.complete {
+            self.replace_evacuations(now, changes.evacuations, changes.upto, source.as_str());
             let records = changes.targets.into_iter().filter_map(TargetChange::into_written);
             self.replace_targets(now, records.collect(), changes.upto, source.as_str());
         } else {
+            self.apply_evacuations(now, changes.evacuations, source.as_str());
             self.apply_targets(now, changes.targets, changes.upto, source.as_str());
         }
         if let Some(routes) = changes.routes {
@@ -291,6 +298,63 @@
         applied
     }
 
+    /// Replaces all evacuations. Returns whether that changed any.
+    fn replace_evacuations(
+        &mut self,
+        now: Millis,
+        requested: Vec<EvacuationChange>,
+        revision: StoreRevision,
+        source: &str,
+    ) -> bool {
+        let effects = self.router.set_evacuations(now, requested, revision);
+        for (data_centre, effect) in &effects {
+            self.report_evacuation(now, data_centre, *effect, source);
+        }
+        effects.iter().any(|(_, effect)| effect.is_change())
+    }
+
+    fn apply_evacuations(
+        &mut self,
+        now: Millis,
+        changes: Vec<EvacuationChange>,
+        source: &str,
+    ) -> bool {
+        let mut applied = false;
+        for change in changes {
+            let data_centre = change.data_centre().clone();
+            let effect = self.router.change_evacuation(now, change);
+            applied |= effect.is_change();
+            self.report_evacuation(now, &data_centre, effect, source);
+        }
+        applied
+    }
+
+    fn report_evacuation(
+        &self,
+        now: Millis,
+        data_centre: &Name,
+        effect: EvacuationEffect,
+        source: &str,
+    ) {
+        let metrics = &self.shared.metrics;
+        match effect {
+            EvacuationEffect::Outdated => {
+                metrics.outdated.get_or_create(&KindLabel { kind: "evacuation" }).inc();
+            }
+            EvacuationEffect::Refused => {
+                metrics.refused_entries.inc();
+            }
+            EvacuationEffect::Began
+            | EvacuationEffect::Doubted
+            | EvacuationEffect::Confirmed
+            | EvacuationEffect::Ended
+            | EvacuationEffect::Unchanged => {}
+        }
+        let Some(change) = events::evacuation_label(effect) else { return };
+        let evacuation = self.router.evacuations().get(data_centre);
+        events::evacuation_changed(now, data_centre, change, evacuation, source);
+    }
+
     fn report_target(&self, name: &Name, effect: Effect, revision: StoreRevision, source: &str) {
         if effect == Effect::Outdated {
             self.shared.metrics.outdated.get_or_create(&KindLabel { kind: "target" }).inc();
@@ -333,11 +397,19 @@
     pub(crate) fn tick(&mut self, now: Millis) {
         self.router.tick(now);
         self.router.take_overload_changes().iter().for_each(events::overload_changed);
+        for data_centre in self.router.take_lapsed_evacuations() {
+            let evacuation = self.router.evacuations().get(&data_centre);
+            events::evacuation_changed(now, &data_centre, "lapsed", evacuation, "store");
+        }
         let metrics = &self.shared.metrics;
+        let evacuated = self.router.evacuated_targets();
+        metrics.evacuated_targets.set(evacuated as i64);
+        metrics.evacuations.set(self.router.evacuations().in_force_count() as i64);
         metrics.flows.set(self.router.tracked_flows() as i64);
         metrics.suspects.set(self.router.suspects() as i64);
         metrics.overloaded_services.set(self.router.overloaded_services() as i64);
-        metrics.targets.set(self.router.targets().usable_count() as i64);
+        let accepting = self.router.targets().usable_count();
+        metrics.targets.set(accepting.saturating_sub(evacuated) as i64);
         metrics.directory_age_ms.set(self.shared.readiness.age(now).get() as i64);
     }
 }
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) latency: Family<RouteLabel, Histogram>,
     pub(crate) flows: Gauge,
     pub(crate) targets: Gauge,
+    pub(crate) evacuated_targets: Gauge,
+    pub(crate) evacuations: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) overloaded_services: Gauge,
     pub(crate) refusals: Counter,
@@ -111,6 +113,11 @@
             latency,
             flows: register!(flows, "Open flows observed by this VM"),
             targets: register!(targets, "Targets that take new flows"),
+            evacuated_targets: register!(
+                evacuated_targets,
+                "Targets that get no new flows because their data centre is evacuated"
+            ),
+            evacuations: register!(evacuations, "Data centres whose evacuation is in force"),
             suspects: register!(suspects, "Targets suspected of not answering"),
             overloaded_services: register!(
                 overloaded_services,
--- a/crates/jasminecart-forward/src/peers.rs
+++ b/crates/jasminecart-forward/src/peers.rs
@@ -24,7 +24,7 @@
 use crate::settings::Settings;
 
 /// The version of the datagram format. Datagrams of another version are ignored.
-const PROTOCOL: u8 = 4;
+const PROTOCOL: u8 = 5;
 /// The maximum size of a datagram, which fits an Ethernet frame.
 const MAX_DATAGRAM: usize = 1_472;
 /// The maximum number of datagrams handled before packets of clients are polled.
--- a/crates/jasminecart-forward/tests/peers.rs
+++ b/crates/jasminecart-forward/tests/peers.rs
@@ -8,7 +8,7 @@
 
 fn datagram() -> PeerDatagram {
     PeerDatagram {
-        protocol: 4,
+        protocol: 5,
         from: VmId::new("east", "vm-1"),
         message: ForwardMessage::Sharing(SharingMessage::Beacon {
             unchanged_since: StoreRevision::new(2, 3),
@@ -29,7 +29,7 @@
 #[test]
 fn another_version_and_trailing_bytes_are_refused() {
     let mut other = datagram();
-    other.protocol = 3;
+    other.protocol = 4;
     let bytes = postcard::to_stdvec(&other).expect("encoded");
     assert_eq!(PeerDatagram::decode(&bytes), None);
     let mut longer = postcard::to_stdvec(&datagram()).expect("encoded");
