Start the wait for a lost evacuation again after a second restore

Cause: a request that one restore had lost, and that was written again and lost by the next restore before a VM saw it, could end with the first confirmation after the second restore, because the wait went on from the first.

Change: a full state, or a loss reported by a peer, of a later epoch starts the wait again.

Result: a_second_restore_starts_the_wait_again; the 37 tests of evacuations passed.

--- a/crates/jasminecart-core/src/version/evacuations.rs
+++ b/crates/jasminecart-core/src/version/evacuations.rs
@@ -186,6 +186,7 @@
         if latest == known.revision {
             return EvacuationEffect::Unchanged;
         }
+        let is_new_epoch = change.revision().epoch > known.revision.epoch;
         known.revision = known.revision.max(change.revision());
         match change {
             EvacuationChange::Requested { revision, .. } => {
@@ -213,7 +214,12 @@
                     known.state = EvacuationState::Lost { since: now };
                     EvacuationEffect::Doubted
                 }
-                EvacuationState::Lost { .. } => EvacuationEffect::Unchanged,
+                EvacuationState::Lost { .. } => {
+                    if is_new_epoch {
+                        known.state = EvacuationState::Lost { since: now };
+                    }
+                    EvacuationEffect::Unchanged
+                }
                 EvacuationState::Withdrawn { .. } => {
                     known.state = EvacuationState::Lost { since: now };
                     (known.requested_at, known.began_at) = (requested_at, now);
@@ -300,9 +306,13 @@
     ) -> Vec<(Name, EvacuationEffect)> {
         let listed: BTreeSet<&Name> = listed.iter().map(EvacuationChange::data_centre).collect();
         let missing = |(data_centre, known): &(&Name, &mut Evacuation)| {
-            known.state == EvacuationState::Requested
-                && known.revision <= revision
-                && !listed.contains(data_centre)
+            // A request that an earlier restore lost may have been written again and lost once more.
+            let may_be_missing = match known.state {
+                EvacuationState::Requested => true,
+                EvacuationState::Lost { .. } => known.revision.epoch < revision.epoch,
+                EvacuationState::Withdrawn { .. } => false,
+            };
+            may_be_missing && known.revision <= revision && !listed.contains(data_centre)
         };
         let mut effects = Vec::new();
         for (data_centre, known) in self.by_data_centre.iter_mut().filter(missing) {
--- a/crates/jasminecart-core/tests/token/evacuation.rs
+++ b/crates/jasminecart-core/tests/token/evacuation.rs
@@ -86,6 +86,22 @@
     assert_eq!(evacuations.apply(Millis(60_300), requested("west", 1, 9)), EvacuationEffect::Began);
 }
 
+/// Guards against a wait that an earlier restore began and that ends right after another one: the request may have been
+/// written between them.
+#[test_case(false; "read from the store")]
+#[test_case(true; "received from a peer")]
+fn a_second_restore_starts_the_wait_again(from_peer: bool) {
+    let mut evacuations = known([requested("west", 0, 9)]);
+    evacuations.replace(Millis(1_000), Vec::new(), StoreRevision::new(1, 5));
+    let revision = StoreRevision::new(2, 6);
+    let (data_centre, requested_at) = (Name::new("west"), StoreRevision::new(1, 7));
+    let lost = EvacuationChange::Lost { data_centre, requested_at, revision };
+    let listed = if from_peer { vec![lost] } else { Vec::new() };
+    evacuations.replace(Millis(4_000), listed, revision);
+    evacuations.set_confirmed(Millis(4_000) + REREGISTRATION_GRACE - Millis(1));
+    assert!(evacuations.expire(Millis(6_500)).is_empty());
+}
+
 /// Guards against flows to a data centre whose evacuation the restored copy still contains, although it was withdrawn
 /// later, and against a request that ends the wait and is not passed on.
 #[test]
