--- a/crates/jasminecart/src/story.rs
+++ b/crates/jasminecart/src/story.rs
@@ -8,11 +8,12 @@
 use crate::files;
 
 /// Events that concern every flow, because they change a VM's view as a whole.
-const CONTEXT_EVENTS: [&str; 8] = [
+const CONTEXT_EVENTS: [&str; 9] = [
     "start",
     "stopping",
     "stop",
     "routes-adopted",
+    "evacuation-changed",
     "directory-lost",
     "directory-regained",
     "source-changed",
