--- a/crates/jasminecart-bench/src/overload/sim.rs
+++ b/crates/jasminecart-bench/src/overload/sim.rs
@@ -145,6 +145,7 @@
         revision: StoreRevision::new(0, 1),
         version: 1,
         by_address: [(FEED, feed), (CLAIM, claim)].into_iter().collect(),
+        services: Default::default(),
         idle_timeout: Millis::from_secs(12),
     }
 }
--- a/crates/jasminecart-bench/src/token_packets.rs
+++ b/crates/jasminecart-bench/src/token_packets.rs
@@ -112,6 +112,7 @@
         revision: StoreRevision::new(0, 1),
         version: 1,
         by_address: [(SERVICE, Arc::new(rule))].into_iter().collect(),
+        services: Default::default(),
         idle_timeout: Millis(15_000),
     }));
     router
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -19,7 +19,7 @@
     Class, Digest, Document, DocumentErrors, Limits, Protocol, Revision, Service, ServiceAddress,
     Target, TargetState, Tenant,
 };
-pub use self::routes::{Repeatable, RouteRule, Routes};
+pub use self::routes::{Repeatable, RouteRule, Routes, ServiceRule};
 pub use self::sharing::{
     SharedChanges, SharedItem, Sharing, SharingCounters, SharingLimits, SharingMessage,
     SharingStep, Source, TransferFailure, View,
--- a/crates/jasminecart-core/src/version/routes.rs
+++ b/crates/jasminecart-core/src/version/routes.rs
@@ -43,6 +43,30 @@
     }
 }
 
+/// The longest time for which a target can be expected to stay cold. A longer one is reduced to it.
+const MAX_WARM_UP: Millis = Millis::from_secs(3600);
+
+/// What the configuration states about a service besides its routes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceRule {
+    /// How long a target stays cold after its start.
+    pub warm_up: Millis,
+    /// The requests per second that a cold target can handle. Without it, cold targets are not limited.
+    pub cold_rate: Option<f64>,
+}
+
+impl ServiceRule {
+    /// Returns the rule with values that can be used: a rate that is negative or no number limits nothing, and
+    /// an extremely long warm-up is shortened.
+    pub fn sanitized(self) -> ServiceRule {
+        let is_valid = |rate: &f64| rate.is_finite() && *rate >= 0.0;
+        ServiceRule {
+            warm_up: self.warm_up.min(MAX_WARM_UP),
+            cold_rate: self.cold_rate.filter(is_valid),
+        }
+    }
+}
+
 /// The routes of one revision. They are adopted as a whole and never replaced by older ones.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Routes {
@@ -52,6 +76,8 @@
     pub version: u64,
     /// The rule of each service address.
     pub by_address: HashMap<SocketAddrV4, Arc<RouteRule>>,
+    /// The rules of the services that have one.
+    pub services: HashMap<Name, ServiceRule>,
     /// How long a flow may be idle before its state may be evicted.
     pub idle_timeout: Millis,
 }
--- a/crates/jasminecart-core/src/version/sharing/delta.rs
+++ b/crates/jasminecart-core/src/version/sharing/delta.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::SharedItem;
+use crate::names::Name;
 use crate::version::{Routes, StoreRevision};
 
 /// The number of route revisions that are retained to compute differences. Operators change the
@@ -46,6 +47,12 @@
         let addresses = base.iter().flat_map(|base| base.by_address.keys());
         let removed = addresses.filter(|address| routes.rule(address).is_none());
         items.extend(removed.map(|address| SharedItem::RouteGone(*address)));
+        let known = |service: &Name| base.and_then(|base| base.services.get(service));
+        let changed = routes.services.iter().filter(|(name, rule)| known(name) != Some(rule));
+        items.extend(changed.map(|(name, rule)| SharedItem::Service(name.clone(), *rule)));
+        let services = base.iter().flat_map(|base| base.services.keys());
+        let removed = services.filter(|name| !routes.services.contains_key(*name));
+        items.extend(removed.map(|name| SharedItem::ServiceGone(name.clone())));
         items
     }
 }
@@ -60,16 +67,17 @@
     for item in items {
         match (item, next.as_mut()) {
             (SharedItem::Routes { base, revision, version, idle_timeout }, _) => {
-                let by_address = match base {
+                let (by_address, services) = match base {
                     None => Default::default(),
                     Some(base) => {
                         let same = known.filter(|known| known.revision == *base);
-                        same.ok_or(BaseUnknown)?.by_address.clone()
+                        let same = same.ok_or(BaseUnknown)?;
+                        (same.by_address.clone(), same.services.clone())
                     }
                 };
                 let (revision, version) = (*revision, *version);
                 let idle_timeout = *idle_timeout;
-                next = Some(Routes { revision, version, by_address, idle_timeout });
+                next = Some(Routes { revision, version, by_address, services, idle_timeout });
             }
             (SharedItem::Route(address, rule), Some(routes)) => {
                 routes.by_address.insert(*address, Arc::new(rule.clone()));
@@ -77,7 +85,14 @@
             (SharedItem::RouteGone(address), Some(routes)) => {
                 routes.by_address.remove(address);
             }
+            (SharedItem::Service(name, rule), Some(routes)) => {
+                routes.services.insert(name.clone(), rule.sanitized());
+            }
+            (SharedItem::ServiceGone(name), Some(routes)) => {
+                routes.services.remove(name);
+            }
             (SharedItem::Target(_) | SharedItem::Route(..) | SharedItem::RouteGone(_), _) => {}
+            (SharedItem::Service(..) | SharedItem::ServiceGone(_), None) => {}
         }
     }
     Ok(next.map(Arc::new))
--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::VmId;
+use crate::names::{Name, VmId};
 use crate::time::Millis;
-use crate::version::{RouteRule, Routes, StoreRevision, TargetChange};
+use crate::version::{RouteRule, Routes, ServiceRule, StoreRevision, TargetChange};
 
 /// Limits and intervals of [`super::Sharing`].
 #[derive(Clone, Copy, Debug)]
@@ -146,6 +146,10 @@
     Route(std::net::SocketAddrV4, RouteRule),
     /// A service address no longer has a rule.
     RouteGone(std::net::SocketAddrV4),
+    /// A service has a new or changed rule.
+    Service(Name, ServiceRule),
+    /// A service no longer has a rule.
+    ServiceGone(Name),
 }
 
 /// A message between two VMs of one data centre.
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -517,6 +517,7 @@
         let targets = items.into_iter().filter_map(|item| match item {
             SharedItem::Target(change) => Some(change),
             SharedItem::Routes { .. } | SharedItem::Route(..) | SharedItem::RouteGone(_) => None,
+            SharedItem::Service(..) | SharedItem::ServiceGone(_) => None,
         });
         let changes = SharedChanges {
             from: from.clone(),
--- a/crates/jasminecart-core/src/version/sharing/parts.rs
+++ b/crates/jasminecart-core/src/version/sharing/parts.rs
@@ -43,6 +43,9 @@
         }
         SharedItem::Target(TargetChange::Deleted { name, .. }) => FIXED_BYTES + name.as_str().len(),
         SharedItem::Routes { .. } | SharedItem::RouteGone(_) => FIXED_BYTES,
+        SharedItem::Service(name, _) | SharedItem::ServiceGone(name) => {
+            FIXED_BYTES + name.as_str().len()
+        }
         SharedItem::Route(address, rule) => max_rule_size(address, rule),
     }
 }
--- a/crates/jasminecart-core/tests/token/data_centre.rs
+++ b/crates/jasminecart-core/tests/token/data_centre.rs
@@ -330,6 +330,7 @@
             assert_eq!(usable(&vm.targets), usable(&expected), "targets of {id}");
             let routes = vm.routes.as_ref().expect("routes");
             assert_eq!(routes.by_address, self.routes.by_address, "routes of {id}");
+            assert_eq!(routes.services, self.routes.services, "services of {id}");
             assert_eq!(routes.revision, self.routes.revision, "revision of {id}");
         }
     }
--- a/crates/jasminecart-core/tests/token/sharing.rs
+++ b/crates/jasminecart-core/tests/token/sharing.rs
@@ -3,8 +3,8 @@
 
 use crate::data_centre::{APPLY_WITHIN, DataCentre, TICK, introduction};
 use crate::support::{FEED, UPLOAD, target};
-use jasminecart_core::version::{Sharing, SharingLimits, Source, TargetList};
-use jasminecart_core::{Millis, VmId};
+use jasminecart_core::version::{ServiceRule, Sharing, SharingLimits, Source, TargetList};
+use jasminecart_core::{Millis, Name, VmId};
 use proptest::prelude::*;
 use test_case::test_case;
 
@@ -27,6 +27,36 @@
     assert_eq!(centre.readers().len(), 1);
 }
 
+/// Guards against rules of services that a peer does not get, keeps after they were removed, or takes from another peer
+/// although they are invalid.
+#[test]
+fn rules_of_services_reach_all_vms() {
+    let mut centre = DataCentre::new(9);
+    centre.run(Millis(5_000));
+    let rule = |rate| ServiceRule { warm_up: Millis(2_000), cold_rate: rate };
+    let (desk, vault) = (Name::new("desk"), Name::new("vault"));
+    for (name, rate) in [(&desk, Some(0.0)), (&vault, None), (&desk, Some(f64::MAX))] {
+        centre.configure(|routes| {
+            routes.services.insert(name.clone(), rule(rate));
+        });
+        centre.run(Millis(1_000));
+        centre.assert_up_to_date();
+    }
+    centre.configure(|routes| {
+        routes.services.remove(&desk);
+    });
+    centre.run(Millis(1_000));
+    centre.assert_up_to_date();
+    centre.configure(|routes| {
+        routes.services.insert(desk.clone(), rule(Some(-1.0)));
+    });
+    centre.run(Millis(1_000));
+    // The reader of this test takes the routes as they are; the platform's decoder would refuse the rate.
+    let rules = centre.vms.values().filter_map(|vm| vm.routes.as_ref()?.services.get(&desk));
+    let without_rate = rules.filter(|known| **known == rule(None)).count();
+    assert_eq!(without_rate + centre.readers().len(), 9);
+}
+
 /// Guards against a load on the store that grows with the data centre: there is one reader whatever the size,
 /// with a watch every 1.5 s.
 #[test]
--- a/crates/jasminecart-core/tests/token/support.rs
+++ b/crates/jasminecart-core/tests/token/support.rs
@@ -43,6 +43,7 @@
         revision: StoreRevision::new(0, revision),
         version: revision,
         by_address: rules.into_iter().map(|(at, rule)| (at, Arc::new(rule))).collect(),
+        services: Default::default(),
         idle_timeout: IDLE,
     }
 }
