Limit openings to cold targets over all VMs

A target handles few requests in the first seconds after its start, and all VMs together may send it only a limited number of openings a second. Every VM sent it as many as it liked.

The first three VMs by rendezvous rank of the target's data centre are its holders and send a fifth of the limit each, counted in a sliding window; all others treat it as unusable, also for probes, repeated openings and while all targets are suspected. Dead members keep their rank for a minute, and a VM in its first minute is a holder only where it ranks first: ranks among live members, or new VMs with full rights, break the limit in a partition. After the cold time the extra cost of a target falls to 0 within a second, on each VM at another moment. The targets of a data centre that returned from an evacuation count as cold. [warm_up] overage and slack switch this on; without them, or without a rate, nothing changes.

--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -5,9 +5,11 @@
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
+//! overloaded services, `cold_targets` those to targets that started recently, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
 //! token.
 
+mod cold_holders;
+mod cold_targets;
 mod observed_target;
 mod open_flows;
 mod overload;
@@ -20,6 +22,7 @@
 mod token_router;
 mod verdict;
 
+pub use self::cold_targets::{ColdSummary, WarmUpLimit};
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
--- a/crates/jasminecart-core/src/flow/token/observed_target.rs
+++ b/crates/jasminecart-core/src/flow/token/observed_target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 
+use super::cold_targets::ColdState;
 use super::refusal::Refusals;
 use super::relative_latency::RelativeLatency;
 use super::routing_token::RoutingToken;
@@ -31,6 +32,8 @@
     pub(super) delivery_ends_at: Millis,
     /// The end of its warm-up.
     pub(super) warm_up_until: Millis,
+    /// The limit on new flows while it is cold. Cached here like `eligibility`.
+    pub(super) cold: ColdState,
     /// Open flows tracked by this VM.
     pub(super) flows: u32,
     /// Requests in progress on these flows.
@@ -63,6 +66,7 @@
             ambiguous: false,
             delivery_ends_at: listed.delivery_ends_at(),
             warm_up_until: now + listed.warmup_left(now),
+            cold: ColdState::default(),
             flows: 0,
             active_requests: 0,
             silence: SilenceDetector::default(),
--- a/crates/jasminecart-core/src/flow/token/target_selector.rs
+++ b/crates/jasminecart-core/src/flow/token/target_selector.rs
@@ -76,7 +76,10 @@
         indices: &[usize],
         criteria: SelectionCriteria,
     ) -> Option<Choice> {
-        let usable = |index: &&usize| targets[**index].accepts_flows && !targets[**index].ambiguous;
+        let usable = |index: &&usize| {
+            let target = &targets[**index];
+            target.accepts_flows && !target.ambiguous && !target.cold.withheld
+        };
         let candidates = indices.iter().filter(usable).count();
         let eligible = |index: &&usize| {
             let eligibility = targets[**index].eligibility;
@@ -128,6 +131,7 @@
         let relative_latency = target.relative_latency.factor(now);
         let cost =
             (waiting + 1.0) * warm_up * relative_latency / f64::from(target.slots.max(1)) + remote;
+        let cost = cost + target.cold.extra_cost;
         Load { active_requests: target.active_requests, flows: target.flows, cost }
     }
 }
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,5 +1,6 @@
 //! The router of packets whose encapsulation carries a routing token.
 
+mod cold;
 mod learning;
 
 use std::collections::HashSet;
@@ -8,6 +9,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use super::cold_targets::{ColdTargets, WarmUpLimit};
 use super::observed_target::ObservedTarget;
 use super::open_flows::OpenFlows;
 use super::overload::{OverloadChange, OverloadControl};
@@ -33,12 +35,14 @@
     pub max_flows: usize,
     /// Whether new flows to overloaded services are refused.
     pub refuses_under_overload: bool,
+    /// The limit on new flows to targets that started recently, if there is one.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 impl Default for TokenRouterLimits {
     fn default() -> Self {
         // About 100 bytes each. A VM is planned to carry 14,500 open flows in two years.
-        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true }
+        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true, warm_up: None }
     }
 }
 
@@ -62,6 +66,7 @@
     data_centres: Vec<(Name, SilenceDetector)>,
     route_means: RouteMeans,
     overload: OverloadControl,
+    cold_targets: ColdTargets,
     selector: TargetSelector,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
@@ -88,6 +93,7 @@
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
             overload: OverloadControl::default(),
+            cold_targets: ColdTargets::new(me.clone(), limits.warm_up),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
             decision: None,
@@ -106,6 +112,7 @@
             let services = routes.by_address.values().flat_map(|rule| &rule.services);
             let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
             self.overload.retain(|service| services.contains(service));
+            self.cold_targets.set_services(&routes.services);
             self.routes = Some(routes);
         }
         adopt
@@ -158,6 +165,7 @@
         if !expired.purged.is_empty() {
             self.rebuild_tables(now);
         }
+        self.tick_cold_targets(now);
         let idle = self.routes.as_ref().map_or(Millis::MAX, |routes| routes.idle_timeout);
         for flow in self.flows.expire(now, idle) {
             self.subtract_load(&flow);
@@ -282,6 +290,8 @@
         }
         let may_probe = rule.repeatable == Repeatable::Always;
         self.update_eligibility(now, &service);
+        let withheld = self.update_cold_targets(now, &service);
+        self.counters.withheld_openings += u64::from(withheld);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
         let criteria = SelectionCriteria {
             avoid: earlier,
@@ -289,7 +299,11 @@
             bytes: self.route_means.bytes(&rule.name),
         };
         let choice = self.selector.choose(now, &self.targets, indices, criteria);
-        let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
+        let Some(choice) = choice else {
+            let cause = if withheld { ResetCause::TargetsCold } else { ResetCause::NoTarget };
+            return Verdict::Reset(cause);
+        };
+        self.count_cold_opening(now, choice.index);
         let target = &mut self.targets[choice.index];
         if target.eligibility == Eligibility::ProbeOnly {
             target.silence.on_probe(now);
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -48,6 +48,8 @@
     TargetSilent,
     /// The flow is new, and the targets of the service are overloaded.
     Overloaded,
+    /// The flow is new, and the targets of the service are cold and get no more new flows from this VM now.
+    TargetsCold,
 }
 
 /// What to do with a packet.
@@ -123,4 +125,6 @@
     pub refusals: u64,
     /// Targets that get no new flows, because another target has the same token.
     pub ambiguous_targets: u64,
+    /// Openings for which at least one target was not considered, because it is cold.
+    pub withheld_openings: u64,
 }
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -115,7 +115,7 @@
         let now = self.shared.clock.now();
         let (received, changed) = self.peers.receive(now);
         if changed {
-            self.sharing.set_members(self.peers.members());
+            self.update_members(now);
         }
         for received in received {
             let steps = match received {
@@ -137,7 +137,7 @@
             Command::Reload(settings) => self.peers.set_settings(&settings),
             Command::Leave => {
                 if self.peers.leave(now) {
-                    self.sharing.set_members(self.peers.members());
+                    self.update_members(now);
                 }
             }
         }
@@ -147,7 +147,7 @@
         let now = self.shared.clock.now();
         self.forwarder.tick(now);
         if self.peers.tick(now) {
-            self.sharing.set_members(self.peers.members());
+            self.update_members(now);
         }
         let steps = self.sharing.tick(now);
         let counters = self.sharing.counters();
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Passes the list of members on after it changed.
+    fn update_members(&mut self, now: Millis) {
+        let members = self.peers.members();
+        self.sharing.set_members(members);
+        self.forwarder.set_members(now, members);
+    }
+
     /// Updates readiness and the feed after the view or the members may have changed.
     fn update_readiness_and_feed(&mut self, now: Millis) {
         let age = self.sharing.age(now);
@@ -248,7 +255,7 @@
         if !self.joined && self.sharing.position() > StoreRevision::NONE {
             self.joined = true;
             if self.peers.set_ready(now) {
-                self.sharing.set_members(self.peers.members());
+                self.update_members(now);
             }
         }
         let source = self.sharing.source(now);
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -1,8 +1,8 @@
 //! Log lines about routing decisions and changes of targets.
 
 use jasminecart_core::flow::token::{
-    ClientSegment, CompletedRequest, Decision, DropCause, FlowId, OverloadChange, ResetCause,
-    SuspicionChange,
+    ClientSegment, ColdSummary, CompletedRequest, Decision, DropCause, FlowId, OverloadChange,
+    ResetCause, SuspicionChange,
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
@@ -175,6 +175,16 @@
     );
 }
 
+/// Logs how many targets are cold. Ticks 100 ms apart limit the volume to ten lines a second, and the targets of
+/// one start share lines, since a small VM spends more time on a line for each than on using them.
+pub(crate) fn cold_targets_changed(summary: ColdSummary, withheld: u64, view_version: ViewVersion) {
+    info!(
+        event = "cold-targets", cold = summary.cold, held = summary.held, withheld = withheld,
+        revision = view_version.revision.number, age_ms = view_version.age.get();
+        "the number of cold targets, or of those that this VM may send new flows to, changed"
+    );
+}
+
 /// The age and revision of the view on which a decision was based.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ViewVersion {
@@ -210,6 +220,7 @@
         ResetCause::TargetGone => "target-gone",
         ResetCause::TargetSilent => "target-silent",
         ResetCause::Overloaded => "overloaded",
+        ResetCause::TargetsCold => "targets-cold",
     }
 }
 
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -9,6 +9,7 @@
     ClientSegment, Destination, DropCause, ResetCause, SegmentKind, TokenRouter, Verdict,
 };
 use jasminecart_core::names::Name;
+use jasminecart_core::process::Members;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
     Effect, Routes, SharedChanges, StoreRevision, TargetChange, TargetRecord,
@@ -274,6 +275,11 @@
         self.router.set_confirmed(at);
     }
 
+    /// Replaces the members of the data centre.
+    pub(crate) fn set_members(&mut self, now: Millis, members: &Members) {
+        self.router.set_members(now, members);
+    }
+
     fn apply_targets(
         &mut self,
         now: Millis,
@@ -330,9 +336,20 @@
         }
     }
 
+    fn report_cold_targets(&mut self, now: Millis) {
+        let withheld = self.router.counters().withheld_openings;
+        let metrics = &self.shared.metrics;
+        metrics.cold_targets.set(self.router.cold_targets().cold as i64);
+        metrics.openings_withheld.set(i64::try_from(withheld).unwrap_or(i64::MAX));
+        if let Some(summary) = self.router.take_cold_change() {
+            events::cold_targets_changed(summary, withheld, self.view_version(now));
+        }
+    }
+
     pub(crate) fn tick(&mut self, now: Millis) {
         self.router.tick(now);
         self.router.take_overload_changes().iter().for_each(events::overload_changed);
+        self.report_cold_targets(now);
         let metrics = &self.shared.metrics;
         metrics.flows.set(self.router.tracked_flows() as i64);
         metrics.suspects.set(self.router.suspects() as i64);
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -56,6 +56,8 @@
     pub(crate) targets: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) overloaded_services: Gauge,
+    pub(crate) cold_targets: Gauge,
+    pub(crate) openings_withheld: Gauge,
     pub(crate) refusals: Counter,
     pub(crate) directory_calls: Counter,
     pub(crate) directory_failures: Counter,
@@ -116,6 +118,14 @@
                 overloaded_services,
                 "Services to which new flows are refused, because their targets are overloaded"
             ),
+            cold_targets: register!(
+                cold_targets,
+                "Targets that started recently and get few new flows"
+            ),
+            openings_withheld: register!(
+                openings_withheld,
+                "Openings for which a target was not considered, because it is cold"
+            ),
             refusals: register!(refusals, "Answers so short that a target probably refused"),
             directory_calls: register!(directory_calls, "Calls to the directory"),
             directory_failures: register!(directory_failures, "Failed calls to the directory"),
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -92,7 +92,9 @@
     let followed = feed::follow(Rc::new(directory), limits, metrics.clone(), mode_rx, tx);
     tokio::task::spawn_local(followed);
     let socket = bind("packet", settings.listen.packets).await?;
-    let router = TokenRouter::new(&settings.me, seed, TokenRouterLimits::default());
+    let router_limits =
+        TokenRouterLimits { warm_up: settings.warm_up, ..TokenRouterLimits::default() };
+    let router = TokenRouter::new(&settings.me, seed, router_limits);
     let peer_socket = bind("peer", settings.listen.peers).await?;
     let peers = Peers::new(&settings, peer_socket, incarnation(), seed, metrics);
     let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
@@ -163,14 +165,16 @@
     Ok(Settings::parse(&text)?)
 }
 
-/// Reloads the settings. Changes of listeners and identity need a restart; invalid settings change nothing.
+/// Reloads the settings. Changes of listeners, identity and `[warm_up]` need a restart; invalid settings change nothing.
 fn reload(path: &Path, current: Settings, shared: &Shared) -> Settings {
     match read_settings(path) {
         Ok(settings) => {
             shared.readiness.set_fresh_within(settings.limits.fresh_within);
             log::set_max_level(settings.log_level);
             shared.metrics.reloads.inc();
-            let restart = settings.listen != current.listen || settings.me != current.me;
+            let restart = settings.listen != current.listen
+                || settings.me != current.me
+                || settings.warm_up != current.warm_up;
             info!(event = "reload", needs_restart = restart; "settings reloaded");
             settings
         }
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
+use jasminecart_core::flow::token::WarmUpLimit;
 pub use jasminecart_core::ini::SettingsErrors;
 use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
@@ -11,17 +12,19 @@
 
 use crate::keys::PeerKeys;
 
-const SECTIONS: [&str; 6] = ["vm", "listen", "directory", "peers", "limits", "log"];
+const SECTIONS: [&str; 7] = ["vm", "listen", "directory", "peers", "limits", "warm_up", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
 const EXPECTED_DURATION: &str = "a span of 1 ms to 1 h such as 250ms, 30s or 5m";
 const DEFAULT_LINK_MEGABITS: u32 = 1_000;
 /// The load of one Mbit/s, about 100 packets a second, in thousandths of a core.
 const SIZE_PER_MEGABIT: u32 = 5;
+const MAX_WARM_UP_OVERAGE: f64 = 1_000.0;
+const MAX_WARM_UP_SLACK: f64 = 1_000_000.0;
 const MAX_DURATION: Millis = Millis::from_secs(3600);
 
 /// The settings of one forwarding process.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The identity of the VM.
     pub me: VmId,
@@ -39,6 +42,8 @@
     pub peer_keys: PeerKeys,
     /// Time limits of the process.
     pub limits: LimitSettings,
+    /// The limit on new flows to targets that started recently, if there is one.
+    pub warm_up: Option<WarmUpLimit>,
     /// The lowest severity that is logged.
     pub log_level: LevelFilter,
 }
@@ -119,6 +124,7 @@
     let peer_keys = peers.secret(problems, "keys", keys, parse).unwrap_or_default();
     peers.finish(problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
+    let warm_up = read_warm_up(ini::take(sections, "warm_up"), problems);
     let mut log = ini::take(sections, "log");
     let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
     let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
@@ -137,6 +143,7 @@
         seeds,
         peer_keys,
         limits,
+        warm_up,
         log_level,
     })
 }
@@ -166,6 +173,28 @@
     limits
 }
 
+/// Reads the limit on new flows to cold targets. One of the two values without the other is no limit that an
+/// operator can have meant.
+fn read_warm_up(mut section: Section, problems: &mut Problems) -> Option<WarmUpLimit> {
+    let number = |text: &str, max: f64| parse(text).filter(|value| (0.0..=max).contains(value));
+    let factor = "a factor from 0 to 1000, such as 1.5";
+    let overage =
+        section.optional(problems, "overage", factor, |text| number(text, MAX_WARM_UP_OVERAGE));
+    let openings = "openings a second from 0 to 1000000, such as 5";
+    let slack =
+        section.optional(problems, "slack", openings, |text| number(text, MAX_WARM_UP_SLACK));
+    let missing = match (overage, slack) {
+        (Some(_), None) => Some("slack"),
+        (None, Some(_)) => Some("overage"),
+        _ => None,
+    };
+    if let Some(key) = missing {
+        section.report(problems, key, "overage and slack are only valid together");
+    }
+    section.finish(problems);
+    Some(WarmUpLimit { overage: overage?, slack: slack? })
+}
+
 fn read_duration(
     section: &mut Section,
     problems: &mut Problems,
--- a/crates/jasminecart-forward/tests/settings.rs
+++ b/crates/jasminecart-forward/tests/settings.rs
@@ -77,6 +77,22 @@
     assert!(reported.iter().any(|problem| problem.contains(expected)), "{reported:?}");
 }
 
+/// Guards against a limit on cold targets of which one half is missing or out of bounds.
+#[test_case("", Some(None); "no limit")]
+#[test_case("overage = 1.5\nslack = 5\n", Some(Some((1.5, 5.0))); "a limit")]
+#[test_case("overage = 0\nslack = 0\n", Some(Some((0.0, 0.0))); "no openings")]
+#[test_case("overage = 1.5\n", None; "no slack")]
+#[test_case("slack = 5\n", None; "no overage")]
+#[test_case("overage =\nslack = 5\n", None; "an empty overage")]
+#[test_case("overage = NaN\nslack = 5\n", None; "not a number")]
+#[test_case("overage = 1.5\nslack = -1\n", None; "negative")]
+#[test_case("overage = 1.5\nslack = 1e9\n", None; "enormous")]
+fn the_limit_on_cold_targets_is_read(body: &str, expected: Option<Option<(f64, f64)>>) {
+    let settings = Settings::parse(&format!("{TEXT}\n[warm_up]\n{body}"));
+    let limit = |settings: Settings| settings.warm_up.map(|limit| (limit.overage, limit.slack));
+    assert_eq!(settings.ok().map(limit), expected);
+}
+
 /// Guards against secrets in logs, to which problems and settings may be written.
 #[test]
 fn keys_are_read_and_never_printed() {
