--- a/crates/jasminecart-core/tests/token/cold_targets.rs
+++ b/crates/jasminecart-core/tests/token/cold_targets.rs
@@ -294,10 +294,10 @@
         // Two slots of 30 ms finish a request every 15 ms.
         queue = (queue - 1.0 / 15.0).max(0.0);
         for (index, router) in vms.iter_mut().enumerate() {
-            if now.get() % 100 == 0 {
+            if now.get().is_multiple_of(100) {
                 router.tick(now);
             }
-            if (now.get() + index as u64) % 37 == 0 {
+            if (now.get() + index as u64).is_multiple_of(37) {
                 let id = flow((now.get() % 50_000) as u16, FEED);
                 let Verdict::Forward(to) = deliver(router, now, &opening(id, 0)) else {
                     panic!("the busy targets accept flows");
