--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,5 +1,6 @@
 //! The router of packets whose encapsulation carries a routing token.
 
+mod cold;
 mod evacuation;
 mod learning;
 
@@ -9,6 +10,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use super::cold_targets::{ColdTargets, WarmUpLimit};
 use super::observed_target::ObservedTarget;
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
@@ -35,12 +37,14 @@
     pub max_flows: usize,
     /// Whether new flows to overloaded services are refused.
     pub refuses_under_overload: bool,
+    /// The limit on new flows to targets that started recently, if there is one.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 impl Default for TokenRouterLimits {
     fn default() -> Self {
         // About 100 bytes each. A VM is planned to carry 14,500 open flows in two years.
-        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true }
+        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true, warm_up: None }
     }
 }
 
@@ -65,6 +69,7 @@
     data_centres: Vec<(Name, SilenceDetector)>,
     route_means: RouteMeans,
     overload: OverloadControl,
+    cold_targets: ColdTargets,
     selector: TargetSelector,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
@@ -93,6 +98,7 @@
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
             overload: OverloadControl::default(),
+            cold_targets: ColdTargets::new(me.clone(), limits.warm_up),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
             decision: None,
@@ -112,6 +118,7 @@
             let services = routes.by_address.values().flat_map(|rule| &rule.services);
             let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
             self.overload.retain(|service| services.contains(service));
+            self.cold_targets.set_services(&routes.services);
             self.routes = Some(routes);
         }
         adopt
@@ -166,6 +173,7 @@
         if !expired.purged.is_empty() {
             self.rebuild_tables(now);
         }
+        self.tick_cold_targets(now);
         let idle = self.routes.as_ref().map_or(Millis::MAX, |routes| routes.idle_timeout);
         for flow in self.flows.expire(now, idle) {
             self.subtract_load(&flow);
@@ -290,6 +298,8 @@
         }
         let may_probe = rule.repeatable == Repeatable::Always;
         self.update_eligibility(now, &service);
+        let withheld = self.update_cold_targets(now, &service);
+        self.counters.withheld_openings += u64::from(withheld);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
         let bytes = self.route_means.bytes(&rule.name);
         let mut ambiguous = Vec::new();
@@ -297,7 +307,10 @@
             let criteria =
                 SelectionCriteria { ambiguous: &ambiguous, avoid: earlier, may_probe, bytes };
             let choice = self.selector.choose(now, &self.targets, indices, criteria);
-            let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
+            let Some(choice) = choice else {
+                let cause = if withheld { ResetCause::TargetsCold } else { ResetCause::NoTarget };
+                return Verdict::Reset(cause);
+            };
             let token = self.targets[choice.index].key.token(segment.flow.service);
             if !self.tokens.is_shared(choice.index, token, segment.flow.service) {
                 break (choice, token);
@@ -306,6 +319,7 @@
             self.counters.ambiguous += 1;
             ambiguous.push(choice.index);
         };
+        self.count_cold_opening(now, choice.index);
         let target = &mut self.targets[choice.index];
         if target.eligibility == Eligibility::ProbeOnly {
             target.silence.on_probe(now);
--- a/crates/jasminecart-core/src/flow/token/token_router/evacuation.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/evacuation.rs
@@ -13,7 +13,7 @@
     pub fn change_evacuation(&mut self, now: Millis, change: EvacuationChange) -> EvacuationEffect {
         let data_centre = change.data_centre().clone();
         let effect = self.evacuations.apply(now, change);
-        self.on_evacuation_effect(&data_centre, effect);
+        self.on_evacuation_effect(now, &data_centre, effect);
         effect
     }
 
@@ -27,7 +27,7 @@
     ) -> Vec<(Name, EvacuationEffect)> {
         let effects = self.evacuations.replace(now, listed, revision);
         for (data_centre, effect) in &effects {
-            self.on_evacuation_effect(data_centre, *effect);
+            self.on_evacuation_effect(now, data_centre, *effect);
         }
         effects
     }
@@ -53,15 +53,15 @@
     /// Ends evacuations whose requests a restored store did not return.
     pub(super) fn expire_evacuations(&mut self, now: Millis) {
         for data_centre in self.evacuations.expire(now) {
-            self.on_evacuation_ended(&data_centre);
+            self.on_evacuation_ended(now, &data_centre);
             self.lapsed_evacuations.push(data_centre);
         }
     }
 
-    fn on_evacuation_effect(&mut self, data_centre: &Name, effect: EvacuationEffect) {
+    fn on_evacuation_effect(&mut self, now: Millis, data_centre: &Name, effect: EvacuationEffect) {
         match effect {
             EvacuationEffect::Began => self.update_candidates(data_centre),
-            EvacuationEffect::Ended => self.on_evacuation_ended(data_centre),
+            EvacuationEffect::Ended => self.on_evacuation_ended(now, data_centre),
             EvacuationEffect::Doubted
             | EvacuationEffect::Confirmed
             | EvacuationEffect::Outdated
@@ -71,7 +71,9 @@
     }
 
     /// Returns the targets of a data centre to service. Every end of an evacuation passes here.
-    fn on_evacuation_ended(&mut self, data_centre: &Name) {
+    /// Their records may report only later that they are cold.
+    fn on_evacuation_ended(&mut self, now: Millis, data_centre: &Name) {
+        self.set_data_centre_returned(now, data_centre);
         self.update_candidates(data_centre);
     }
 
--- a/crates/jasminecart-core/src/version/mod.rs
+++ b/crates/jasminecart-core/src/version/mod.rs
@@ -23,7 +23,7 @@
 pub use self::evacuations::{
     Evacuation, EvacuationChange, EvacuationEffect, EvacuationState, Evacuations, MAX_EVACUATIONS,
 };
-pub use self::routes::{Repeatable, RouteRule, Routes};
+pub use self::routes::{Repeatable, RouteRule, Routes, ServiceRule};
 pub use self::sharing::{
     SharedChanges, SharedItem, Sharing, SharingCounters, SharingLimits, SharingMessage,
     SharingStep, Source, TransferFailure, View,
--- a/crates/jasminecart-core/src/version/sharing/message.rs
+++ b/crates/jasminecart-core/src/version/sharing/message.rs
@@ -4,9 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::names::VmId;
+use crate::names::{Name, VmId};
 use crate::time::Millis;
-use crate::version::{EvacuationChange, RouteRule, Routes, StoreRevision, TargetChange};
+use crate::version::{
+    EvacuationChange, RouteRule, Routes, ServiceRule, StoreRevision, TargetChange,
+};
 
 /// Limits and intervals of [`super::Sharing`].
 #[derive(Clone, Copy, Debug)]
@@ -148,6 +150,10 @@
     RouteGone(std::net::SocketAddrV4),
     /// The evacuation of a data centre was requested or withdrawn.
     Evacuation(EvacuationChange),
+    /// A service has a new or changed rule.
+    Service(Name, ServiceRule),
+    /// A service no longer has a rule.
+    ServiceGone(Name),
 }
 
 /// A message between two VMs of one data centre.
--- a/crates/jasminecart-core/src/version/sharing/mod.rs
+++ b/crates/jasminecart-core/src/version/sharing/mod.rs
@@ -522,7 +522,11 @@
                 SharedItem::Target(change) => targets.push(change),
                 SharedItem::Evacuation(change) => evacuations.push(change),
                 // Applied above.
-                SharedItem::Routes { .. } | SharedItem::Route(..) | SharedItem::RouteGone(_) => {}
+                SharedItem::Routes { .. }
+                | SharedItem::Route(..)
+                | SharedItem::RouteGone(_)
+                | SharedItem::Service(..)
+                | SharedItem::ServiceGone(_) => {}
             }
         }
         let from = from.clone();
--- a/crates/jasminecart-core/tests/token/data_centre.rs
+++ b/crates/jasminecart-core/tests/token/data_centre.rs
@@ -398,6 +398,7 @@
             assert_eq!(evacuated(vm), self.requested(), "evacuations of {id}");
             let routes = vm.routes.as_ref().expect("routes");
             assert_eq!(routes.by_address, self.routes.by_address, "routes of {id}");
+            assert_eq!(routes.services, self.routes.services, "services of {id}");
             assert_eq!(routes.revision, self.routes.revision, "revision of {id}");
         }
     }
