Guarantee each route of an overloaded service half of its fair share

Cause: under overload the routes with the highest priority got 1.5 times the limit on requests in progress and all others 0.8 times, without a minimum and without regard to whether requests may be repeated.

Change: `admission_order` orders routes by priority, then at-most-once before repeatable; shares are evenly spaced from 1.5 to 0.8. A route that was refused something and gets less than 0.55 of its max-min fair share of what this VM sees served is admitted beyond the limit. Two routes of different priority are treated as before as long as neither is below its minimum. Routes of one priority that differ in repeatability now differ under overload.

--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -5,10 +5,11 @@
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services, `service_selector` divides the flows of a route among its services by weight and by
+//! overloaded services, in the order of `admission_order`, `service_selector` divides the flows of a route among its services by weight and by
 //! what `service_load` estimates that they can carry, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
 //! token.
 
+mod admission_order;
 mod observed_target;
 mod open_flows;
 mod overload;
@@ -23,6 +24,7 @@
 mod token_router;
 mod verdict;
 
+pub use self::admission_order::{AdmissionOrder, Precedence};
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -6,10 +6,12 @@
 //! refused: a reset would break them. The limit on requests in progress follows Little's law:
 //! throughput times the latency to keep. `docs/platform.md`, "Overload", has the figures.
 
+use super::admission_order::{AdmissionOrder, Precedence};
 use super::service_selector::Admission;
 use crate::hashing::HashMap;
 use crate::names::Name;
 use crate::time::Millis;
+use crate::version::RouteRule;
 
 /// The mean latency to keep, as a fraction of the latency objective. The latencies of one route
 /// vary about twofold, so that most requests still meet the objective.
@@ -32,12 +34,6 @@
 const MAX_SAMPLE_AGE: Millis = Millis(500);
 /// The number of requests in progress below which no flow is refused.
 const MIN_LIMIT: f64 = 6.0;
-/// The factor on the limit for the routes with the highest priority of those that a service serves,
-/// and for the others.
-const URGENT_SHARE: f64 = 1.5;
-const OTHER_SHARE: f64 = 0.8;
-/// How long a priority that is not seen any more counts as the highest of its service.
-const PRIORITY_MEMORY: Millis = Millis::from_secs(10);
 /// How long a VM refuses nothing after it has its first routes and targets. Clients then repeat what
 /// they sent while it was away; the queues absorb that, and a refusal would lose it.
 const START_GRACE: Millis = Millis::from_secs(3);
@@ -56,7 +52,7 @@
 }
 
 /// The load of one service, as this VM sees it.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct ServiceLoad {
     /// The mean latency of the first requests of flows, as a fraction of the objective.
     latency_ratio: f64,
@@ -67,23 +63,20 @@
     kept_latency_sum: f64,
     /// The mean of that sum per millisecond, which is the limit on requests in progress.
     limit: f64,
-    /// The highest priority among the requests, and when it was last seen.
-    priority: u8,
-    priority_seen_at: Millis,
+    order: AdmissionOrder,
     /// Whether the overload has been reported.
     reported: bool,
 }
 
 impl ServiceLoad {
-    fn new(now: Millis, priority: u8) -> ServiceLoad {
+    fn new(now: Millis) -> ServiceLoad {
         ServiceLoad {
             latency_ratio: 0.0,
             sampled_at: now,
             slow_since: None,
             kept_latency_sum: 0.0,
             limit: 0.0,
-            priority,
-            priority_seen_at: now,
+            order: AdmissionOrder::default(),
             reported: false,
         }
     }
@@ -92,19 +85,13 @@
         let lasts = self.slow_since.is_some_and(|at| now.since(at) >= MIN_OVERLOAD_TIME);
         lasts && now.since(self.sampled_at) <= MAX_SAMPLE_AGE
     }
-
-    /// Records the priority of a request, and returns whether it is the highest of the service.
-    fn observe_priority(&mut self, now: Millis, priority: u8) -> bool {
-        if priority <= self.priority || now.since(self.priority_seen_at) > PRIORITY_MEMORY {
-            (self.priority, self.priority_seen_at) = (priority, now);
-        }
-        priority <= self.priority
-    }
 }
 
 /// Decides whether services accept new flows.
 #[derive(Debug, Default)]
 pub(super) struct OverloadControl {
+    /// Whether routes are guaranteed a minimum.
+    guarantees: bool,
     services: HashMap<Name, ServiceLoad>,
     /// When this VM had its first routes and targets.
     ready_at: Option<Millis>,
@@ -113,23 +100,25 @@
 }
 
 impl OverloadControl {
+    pub(super) fn new(guarantees: bool) -> OverloadControl {
+        OverloadControl { guarantees, ..OverloadControl::default() }
+    }
+
     /// Records a request that a target of `service` has served.
-    pub(super) fn on_served(
-        &mut self,
-        now: Millis,
-        service: &Name,
-        priority: u8,
-        objective: Millis,
-    ) {
+    pub(super) fn on_served(&mut self, now: Millis, service: &Name, rule: &RouteRule) {
         let load = match self.services.get_mut(service) {
             Some(load) => load,
-            None => {
-                let load = ServiceLoad::new(now, priority);
-                self.services.entry(service.clone()).or_insert(load)
-            }
+            None => self.services.entry(service.clone()).or_insert(ServiceLoad::new(now)),
         };
-        load.kept_latency_sum += KEPT_LATENCY * objective.get() as f64;
-        load.observe_priority(now, priority);
+        load.kept_latency_sum += KEPT_LATENCY * rule.objective.get() as f64;
+        load.order.on_served(now, rule);
+    }
+
+    /// Records a request that a target of `service` has refused.
+    pub(super) fn on_refused(&mut self, now: Millis, service: &Name, rule: &RouteRule) {
+        if let Some(load) = self.services.get_mut(service) {
+            load.order.on_refused(now, rule);
+        }
     }
 
     /// Records the latency of the first request of a flow. The latencies of later ones say less
@@ -156,24 +145,37 @@
         }
     }
 
-    /// Returns whether a new flow of a route with `priority` may be opened. `in_progress` returns
-    /// the number of requests in progress at the targets of the service through this VM; it is
-    /// called only under overload.
+    /// Returns whether a new flow of a route may be opened. `in_progress` returns the number of
+    /// requests in progress at the targets of the service through this VM; it is called only under
+    /// overload.
     pub(super) fn admits(
         &mut self,
         now: Millis,
         service: &Name,
-        priority: u8,
+        rule: &RouteRule,
         in_progress: impl FnOnce() -> u32,
     ) -> bool {
         let settled = self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE);
         let Some(load) = self.services.get_mut(service) else { return true };
-        let urgent = load.observe_priority(now, priority);
+        load.order.observe(now, rule);
         if !settled || !load.is_overloaded(now) {
             return true;
         }
-        let share = if urgent { URGENT_SHARE } else { OTHER_SHARE };
-        f64::from(in_progress()) < load.limit.max(MIN_LIMIT) * share
+        let precedence = if self.guarantees {
+            load.order.precedence(now, rule)
+        } else {
+            Precedence::Share(load.order.share(now, rule))
+        };
+        let admits = match precedence {
+            Precedence::Guaranteed => true,
+            Precedence::Share(share) => {
+                f64::from(in_progress()) < load.limit.max(MIN_LIMIT) * share
+            }
+        };
+        if !admits {
+            load.order.on_refused(now, rule);
+        }
+        admits
     }
 
     /// Returns whether a service takes one more flow of a route that may use other services. The
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -36,7 +36,8 @@
     pub max_flows: usize,
     /// Whether new flows to overloaded services are refused.
     pub refuses_under_overload: bool,
-    /// Whether services that cannot carry their share of a route pass it to other services.
+    /// Whether services that cannot carry their share of a route pass it to other services, and
+    /// routes are guaranteed a minimum under overload.
     pub shares_capacity: bool,
 }
 
@@ -93,7 +94,7 @@
             last_delivered_at: Millis::ZERO,
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
-            overload: OverloadControl::default(),
+            overload: OverloadControl::new(limits.shares_capacity),
             loads: ServiceLoads::default(),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
@@ -328,7 +329,7 @@
         let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let targets = &self.targets;
         let in_progress = || indices.iter().map(|index| targets[*index].active_requests).sum();
-        self.overload.admits(now, service, rule.priority, in_progress)
+        self.overload.admits(now, service, rule, in_progress)
     }
 
     fn record_decision(
--- a/crates/jasminecart-core/src/flow/token/token_router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/learning.rs
@@ -173,10 +173,11 @@
             target.refusals.add(now);
             self.counters.refusals += 1;
             self.loads.on_refused(now, &target.service);
+            self.overload.on_refused(now, &target.service, rule);
         } else {
             self.route_means.add(now, &rule.name, latency, &request, &mut target.relative_latency);
             let service = &target.service;
-            self.overload.on_served(now, service, rule.priority, rule.objective);
+            self.overload.on_served(now, service, rule);
             self.loads.on_served(rule, service, latency);
             if request.is_first {
                 self.overload.on_first_latency(now, service, latency, rule.objective);
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -1,6 +1,7 @@
 //! Tests of routing by a token and of sharing the view that it needs. Each test says which failure it guards
 //! against.
 
+mod admission_order;
 mod data_centre;
 mod overload;
 mod refusing_targets;
