--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -78,7 +78,7 @@
         now: Millis,
         metrics: &Metrics,
         segment: &ClientSegment,
-        cause: ResetCause,
+        (cause, route): (ResetCause, &str),
         view_version: ViewVersion,
     ) {
         if !self.admit(now, metrics) {
@@ -86,7 +86,7 @@
         }
         info!(
             event = "flow-reset", flow = flow(&segment.flow).as_str(), cause = reset_label(cause),
-            token = segment.token.map_or(0, |token| token.get()),
+            route = route, token = segment.token.map_or(0, |token| token.get()),
             age_ms = view_version.age.get(), revision = view_version.revision.number;
             "a flow was reset"
         );
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -135,14 +135,14 @@
         let cause_label = events::reset_label(cause);
         let label = CauseLabel { cause: cause_label };
         self.shared.metrics.resets.get_or_create(&label).inc();
+        let rule = self.router.routes().and_then(|routes| routes.rule(&segment.flow.service));
+        let route = rule.map_or_else(String::new, |rule| rule.name.to_string());
+        let view_version = self.view_version(now);
+        self.events.reset(now, &self.shared.metrics, segment, (cause, &route), view_version);
         if let SegmentKind::Open { .. } = segment.kind {
-            let rule = self.router.routes().and_then(|routes| routes.rule(&segment.flow.service));
-            let route = rule.map_or_else(String::new, |rule| rule.name.to_string());
             let label = RefusedLabel { cause: cause_label, route };
             self.shared.metrics.refused_openings.get_or_create(&label).inc();
         }
-        let view_version = self.view_version(now);
-        self.events.reset(now, &self.shared.metrics, segment, cause, view_version);
         self.out.clear();
         let to = self.encapsulation.reset(segment, &mut self.out);
         self.send(to);
