Merge capacity sharing under overload

Cause: after a change of weights the service with 30 targets got nearly half of the arrivals of a route and shed 1,039 times; no route was guaranteed a part of an overloaded service. Change: a route passes on what a service cannot carry by the estimate of its capacity or by its own evidence; order of admission with a guaranteed minimum. Cold targets count as no capacity, and a service whose targets are all withheld gets no share of a route.

--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -5,9 +5,12 @@
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `target_tokens` finds the target of a token, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services, `cold_targets` those to targets that started recently, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
-//! token.
+//! overloaded services in the order of `admission_order`, `service_selector` divides the flows of a route among its
+//! services by weight and by what `service_load` estimates that they can carry, `cold_targets` limits new flows to
+//! targets that started recently, and `silence` detects targets that do not respond. `docs/platform.md` gives the
+//! design; [`super::BucketRouter`] serves encapsulations without a token.
 
+mod admission_order;
 mod cold_holders;
 mod cold_targets;
 mod observed_target;
@@ -17,16 +20,20 @@
 mod relative_latency;
 mod routing_token;
 mod segment;
+mod service_load;
+mod service_selector;
 mod silence;
 mod target_selector;
 mod target_tokens;
 mod token_router;
 mod verdict;
 
+pub use self::admission_order::{AdmissionOrder, Precedence};
 pub use self::cold_targets::{ColdSummary, WarmUpLimit};
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
+pub use self::service_selector::{Admission, ServiceCandidate, ServiceChoice, choose_service};
 pub use self::target_selector::{Choice, Load};
 pub use self::token_router::{TokenRouter, TokenRouterLimits};
 pub use self::verdict::{
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -3,6 +3,7 @@
 mod cold;
 mod evacuation;
 mod learning;
+mod services;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -10,12 +11,14 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use self::services::SelectedService;
 use super::cold_targets::{ColdTargets, WarmUpLimit};
 use super::observed_target::ObservedTarget;
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
 use super::relative_latency::RouteMeans;
 use super::segment::{ClientSegment, SegmentKind};
+use super::service_load::ServiceLoads;
 use super::silence::{Eligibility, SilenceDetector};
 use super::target_selector::{Choice, SelectionCriteria, TargetSelector};
 use super::target_tokens::TargetTokens;
@@ -39,12 +42,20 @@
     pub refuses_under_overload: bool,
     /// The limit on new flows to targets that started recently, if there is one.
     pub warm_up: Option<WarmUpLimit>,
+    /// Whether services that cannot carry their share of a route pass it to other services, and
+    /// routes are guaranteed a minimum under overload.
+    pub shares_capacity: bool,
 }
 
 impl Default for TokenRouterLimits {
     fn default() -> Self {
         // About 100 bytes each. A VM is planned to carry 14,500 open flows in two years.
-        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true, warm_up: None }
+        TokenRouterLimits {
+            max_flows: 20_000,
+            refuses_under_overload: true,
+            warm_up: None,
+            shares_capacity: true,
+        }
     }
 }
 
@@ -70,6 +81,7 @@
     route_means: RouteMeans,
     overload: OverloadControl,
     cold_targets: ColdTargets,
+    loads: ServiceLoads,
     selector: TargetSelector,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
@@ -97,8 +109,9 @@
             last_delivered_at: Millis::ZERO,
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
-            overload: OverloadControl::default(),
+            overload: OverloadControl::new(limits.shares_capacity),
             cold_targets: ColdTargets::new(me.clone(), limits.warm_up),
+            loads: ServiceLoads::default(),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
             decision: None,
@@ -120,6 +133,7 @@
             self.overload.retain(|service| services.contains(service));
             self.cold_targets.set_services(&routes.services);
             self.routes = Some(routes);
+            self.estimate_loads();
         }
         adopt
     }
@@ -164,6 +178,7 @@
     pub fn tick(&mut self, now: Millis) {
         if self.is_ready() {
             self.overload.tick(now);
+            self.tick_loads(now);
         }
         self.expire_evacuations(now);
         let expired = self.list.expire(now);
@@ -285,7 +300,9 @@
             return Verdict::Drop(DropCause::NotReady);
         }
         let earlier = self.earlier_target(now, &segment.flow, copy);
-        let Some(service) = self.pick_service(rule) else {
+        let Some(SelectedService { name: service, instead_of: passed_by }) =
+            self.select_service(now, rule)
+        else {
             // The client retransmits after 200 ms and 600 ms, when a target may be registered again.
             return if self.list.is_settled(now) {
                 Verdict::Reset(ResetCause::NoTarget)
@@ -331,6 +348,9 @@
         self.counters.repeated_openings += u64::from(copy > 0);
         self.counters.moved_openings += u64::from(instead_of.is_some());
         self.record_decision(rule, choice, instead_of, version);
+        if let Some(decision) = &mut self.decision {
+            decision.passed_by = passed_by;
+        }
         self.track_opening(now, segment, choice.index, token, instead_of.is_some());
         Verdict::Forward(destination)
     }
@@ -344,7 +364,7 @@
         let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let targets = &self.targets;
         let in_progress = || indices.iter().map(|index| targets[*index].active_requests).sum();
-        self.overload.admits(now, service, rule.priority, in_progress)
+        self.overload.admits(now, service, rule, in_progress)
     }
 
     fn record_decision(
@@ -360,6 +380,7 @@
             target: name(choice.index),
             choice,
             instead_of: instead_of.map(name),
+            passed_by: None,
             version,
         };
         self.decision = Some(decision);
@@ -380,29 +401,6 @@
         }
     }
 
-    /// Selects a service of the route at random, weighted by share, among those that have targets.
-    fn pick_service(&mut self, rule: &RouteRule) -> Option<Name> {
-        let mut candidates = rule.services.iter().filter(|(name, share)| {
-            *share > 0 && self.by_service.get(name).is_some_and(|indices| !indices.is_empty())
-        });
-        if rule.services.len() == 1 {
-            return candidates.next().map(|(name, _)| name.clone());
-        }
-        let total: u64 = candidates.clone().map(|(_, share)| u64::from(*share)).sum();
-        if total == 0 {
-            return None;
-        }
-        let mut rest = self.rng.random_range(0..total);
-        for (name, share) in candidates {
-            let share = u64::from(*share);
-            if rest < share {
-                return Some(name.clone());
-            }
-            rest -= share;
-        }
-        None
-    }
-
     fn route_open_flow(
         &mut self,
         now: Millis,
