Add the budget of second copies with its settings

Operators may accept extra work on targets if it reduces tail latency, but nothing limited how much. Both processes read `[second_copies] share` and `burst`; the default share of 0 switches second copies off. Nothing uses the budget yet.

--- a/crates/jasminecart-core/src/lib.rs
+++ b/crates/jasminecart-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod process;
 pub mod request;
+pub mod second_copies;
 pub mod time;
 pub mod units;
 pub mod version;
--- a/crates/jasminecart-entry/src/settings.rs
+++ b/crates/jasminecart-entry/src/settings.rs
@@ -6,11 +6,12 @@
 use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
 use jasminecart_core::process::{PeerAddress, VmHint};
+use jasminecart_core::second_copies::SecondCopyLimit;
 use jasminecart_core::time::Millis;
 use jasminecart_core::units;
 use log::LevelFilter;
 
-const SECTIONS: [&str; 6] = ["vm", "listen", "platform", "peers", "limits", "log"];
+const SECTIONS: [&str; 7] = ["vm", "listen", "platform", "peers", "limits", "second_copies", "log"];
 const EXPECTED_NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const EXPECTED_SOCKET: &str = "an IP address and port such as 10.0.0.5:8080";
 const EXPECTED_CONCRETE_SOCKET: &str =
@@ -35,6 +36,8 @@
     pub seeds: Vec<VmHint>,
     /// Limits of the process.
     pub limits: LimitSettings,
+    /// The limit on second attempts of requests whose first attempt is still in progress.
+    pub second_copies: SecondCopyLimit,
     /// The level and destination of the log.
     pub log: LogSettings,
     /// The seed of the state machines, from which the secret of issued keys is also derived. It is random if
@@ -148,9 +151,10 @@
     let platform = read_platform(ini::take(sections, "platform"), problems);
     let seeds = read_peers(ini::take(sections, "peers"), problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
+    let second_copies = SecondCopyLimit::read(ini::take(sections, "second_copies"), problems);
     let log = read_log(ini::take(sections, "log"), problems);
     let ((me, size), listen, platform) = (vm?, listen?, platform?);
-    Some(Settings { me, size, listen, platform, seeds, limits, log, seed: None })
+    Some(Settings { me, size, listen, platform, seeds, limits, second_copies, log, seed: None })
 }
 
 fn read_vm(mut section: Section, problems: &mut Problems) -> Option<(VmId, u32)> {
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -5,13 +5,15 @@
 pub use jasminecart_core::ini::SettingsErrors;
 use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
+use jasminecart_core::second_copies::SecondCopyLimit;
 use jasminecart_core::time::Millis;
 use jasminecart_core::units;
 use log::LevelFilter;
 
 use crate::keys::PeerKeys;
 
-const SECTIONS: [&str; 6] = ["vm", "listen", "directory", "peers", "limits", "log"];
+const SECTIONS: [&str; 7] =
+    ["vm", "listen", "directory", "peers", "limits", "second_copies", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
 const EXPECTED_DURATION: &str = "a span of 1 ms to 1 h such as 250ms, 30s or 5m";
@@ -39,6 +41,8 @@
     pub peer_keys: PeerKeys,
     /// Time limits of the process.
     pub limits: LimitSettings,
+    /// The limit on second copies of openings.
+    pub second_copies: SecondCopyLimit,
     /// The lowest severity that is logged.
     pub log_level: LevelFilter,
 }
@@ -119,6 +123,7 @@
     let peer_keys = peers.secret(problems, "keys", keys, parse).unwrap_or_default();
     peers.finish(problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
+    let second_copies = SecondCopyLimit::read(ini::take(sections, "second_copies"), problems);
     let mut log = ini::take(sections, "log");
     let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
     let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
@@ -137,6 +142,7 @@
         seeds,
         peer_keys,
         limits,
+        second_copies,
         log_level,
     })
 }
--- a/crates/jasminecart-forward/tests/settings.rs
+++ b/crates/jasminecart-forward/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
+use jasminecart_core::second_copies::SecondCopyLimit;
 use jasminecart_core::{Millis, VmId};
 use jasminecart_forward::Settings;
 use log::LevelFilter;
@@ -70,6 +71,10 @@
 #[test_case("stop_after = 2s", "stop_after = 0ms", "[limits] stop_after"; "no time to stop")]
 #[test_case("stop_after = 2s", "stop_afer = 2s", "stop_after"; "a misspelt key")]
 #[test_case("[limits]", "[limit]", "limits"; "a misspelt section")]
+#[test_case("[log]", "[second_copies]\nshare = 21\n[log]", "[second_copies] share"; "a share above 20")]
+#[test_case("[log]", "[second_copies]\nshare = NaN\n[log]", "[second_copies] share"; "no number")]
+#[test_case("[log]", "[second_copies]\nshare = 0.001\n[log]", "[second_copies] share"; "too small a share")]
+#[test_case("[log]", "[second_copies]\nburst = 0\n[log]", "[second_copies] burst"; "no burst")]
 #[test_case("level = debug", "level = loud", "[log] level"; "an unknown level")]
 fn a_problem_is_reported_with_section_and_key(from: &str, to: &str, expected: &str) {
     let errors = Settings::parse(&TEXT.replace(from, to)).expect_err("invalid settings");
@@ -77,6 +82,16 @@
     assert!(reported.iter().any(|problem| problem.contains(expected)), "{reported:?}");
 }
 
+/// Guards against second copies that nobody asked for.
+#[test]
+fn second_copies_are_off_unless_a_share_is_set() {
+    let default = Settings::parse(TEXT).expect("valid settings").second_copies;
+    assert_eq!((default, default.is_enabled()), (SecondCopyLimit::default(), false));
+    let text = TEXT.replace("[log]", "[second_copies]\nshare = 2.5\nburst = 30\n[log]");
+    let limit = Settings::parse(&text).expect("valid settings").second_copies;
+    assert_eq!(Some(limit), SecondCopyLimit::new(2.5, 30));
+}
+
 /// Guards against secrets in logs, to which problems and settings may be written.
 #[test]
 fn keys_are_read_and_never_printed() {
