Send second copies of openings that clients do not follow up

An opening that is lost at a dead or paused target costs its client 200 ms, since the client repeats it only then. With `[second_copies] share` above 0 the VM sends the opening of a repeatable route to a second target, preferably in another data centre, after twice the 99th percentile of the route's handshake times (20 to 150 ms). The target comes from the same selection as the first one. Copies are withheld without budget, under overload, when the VM handles packets late, and while a quarter of the openings is not followed up through this VM. A target that was overtaken twice without any contact is suspected, since second copies would otherwise hide a dead one.

A flow stays with the target whose token was echoed first. A VM that did not forward the opening keeps it too, by the sequence numbers of both ends.

`measure second-copies` compares the alternatives.

--- a/crates/jasminecart-bench/src/bin/measure.rs
+++ b/crates/jasminecart-bench/src/bin/measure.rs
@@ -6,7 +6,8 @@
 use bpaf::Bpaf;
 use jasminecart_bench::report::Report;
 use jasminecart_bench::{
-    capacity, documents, faults, flows, membership, overload, packets, requests, steering,
+    capacity, documents, faults, flows, membership, overload, packets, requests, second_copies,
+    steering,
 };
 use jasminecart_core::invariant;
 use peak_alloc::PeakAlloc;
@@ -42,6 +43,9 @@
     /// Admission of new flows under overload, next to three baselines
     #[bpaf(command)]
     Overload(#[bpaf(external(common))] Common),
+    /// Tail latency with second copies of openings, next to none and to a fixed delay
+    #[bpaf(command("second-copies"))]
+    SecondCopies(#[bpaf(external(common))] Common),
 }
 
 #[derive(Clone, Debug, Bpaf)]
@@ -99,5 +103,6 @@
         Case::Packets(common) => packets::run(common.seed),
         Case::Steering(common) => steering::run(common.seed),
         Case::Overload(common) => overload::run(common.seed),
+        Case::SecondCopies(common) => second_copies::run(common.seed),
     }
 }
--- a/crates/jasminecart-bench/src/lib.rs
+++ b/crates/jasminecart-bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod packets;
 pub mod report;
 pub mod requests;
+pub mod second_copies;
 mod single_vm;
 pub mod steering;
 mod token_packets;
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -14,6 +14,7 @@
 mod refusal;
 mod relative_latency;
 mod routing_token;
+mod second_openings;
 mod segment;
 mod silence;
 mod target_selector;
@@ -22,6 +23,7 @@
 
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
+pub use self::second_openings::{SecondCopy, SecondCopyEvent, SecondCopyRefusal, SecondCopyTiming};
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
 pub use self::target_selector::{Choice, Load};
 pub use self::token_router::{TokenRouter, TokenRouterLimits};
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -9,6 +9,10 @@
 use crate::hashing::HashMap;
 use crate::time::Millis;
 
+/// How far the sequence numbers of two consecutive segments of a flow may be apart at a VM: a photo or a list of
+/// results between them, of which a part took another way.
+const MAX_SEQ_DISTANCE: u32 = 256 * 1_024;
+
 /// The tracked state of one flow.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenFlow {
@@ -28,6 +32,8 @@
     /// Whether copies of the opening went to more than one target. A late response of the other one makes the
     /// client echo a token that is not the flow's.
     pub(super) opening_moved: bool,
+    /// The target that got a second copy of the opening, and when it was sent.
+    pub(super) second: Option<(RoutingToken, Millis)>,
     /// How often the client retransmitted a part of the request in progress.
     pub(super) retransmissions: u8,
     /// The bytes that the client sent for the request in progress, without retransmissions.
@@ -45,6 +51,9 @@
     pub(super) progress: bool,
     /// When the packet was forwarded that the target has now responded to.
     pub(super) delivered_packet_at: Option<Millis>,
+    /// The time from the opening to this segment, if it follows the only opening that the client sent and the
+    /// first target responded.
+    pub(super) handshake: Option<Millis>,
     /// The client retransmitted data that it first sent at the given time.
     pub(super) retransmission: Option<(Millis, Retransmission)>,
     /// The client began a request.
@@ -79,6 +88,7 @@
             acked: 0,
             established: false,
             opening_moved: false,
+            second: None,
             retransmissions: 0,
             bytes: 0,
             response_start: 0,
@@ -98,6 +108,7 @@
             acked: segment.ack,
             established: true,
             opening_moved: false,
+            second: None,
             retransmissions: 0,
             bytes: u32::from(segment.payload),
             response_start: segment.ack,
@@ -116,6 +127,15 @@
         })
     }
 
+    /// Returns whether a segment belongs to the same connection by its sequence numbers. A later flow of the same
+    /// address and port has other initial ones at both ends.
+    pub(super) fn is_continued_by(&self, segment: &ClientSegment) -> bool {
+        let is_near = |seq: u32, other: u32| {
+            (seq.wrapping_sub(other) as i32).unsigned_abs() <= MAX_SEQ_DISTANCE
+        };
+        is_near(segment.seq, self.next_seq) && is_near(segment.ack, self.acked)
+    }
+
     /// Starts the next request, if one is in progress.
     fn start_next_request(&mut self, now: Millis, response_start: u32) {
         if let Some(started_at) = &mut self.request_started_at {
@@ -138,6 +158,9 @@
             observation.delivered_packet_at =
                 if first { Some(self.last_segment_at) } else { waited };
         }
+        if first && (!self.opening_moved || self.second.is_some()) {
+            observation.handshake = Some(now.since(self.last_segment_at));
+        }
         self.last_segment_at = now;
         self.established = true;
         // A reordered packet may acknowledge less than an earlier one did.
--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -175,6 +175,11 @@
         f64::from(in_progress()) < load.limit.max(MIN_LIMIT) * share
     }
 
+    /// Returns whether a service is overloaded.
+    pub(super) fn is_overloaded(&self, now: Millis, service: &Name) -> bool {
+        self.services.get(service).is_some_and(|load| load.is_overloaded(now))
+    }
+
     /// Updates the limits. Call it about every 100 ms, once this VM has routes and targets.
     pub(super) fn tick(&mut self, now: Millis) {
         self.ready_at.get_or_insert(now);
--- a/crates/jasminecart-core/src/flow/token/target_selector.rs
+++ b/crates/jasminecart-core/src/flow/token/target_selector.rs
@@ -24,8 +24,10 @@
 /// What the selection of a target depends on besides the targets.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct SelectionCriteria {
-    /// The target that did not respond to an earlier copy of the same opening.
-    pub(super) avoid: Option<usize>,
+    /// The targets that got earlier copies of the same opening and did not respond.
+    pub(super) avoid: [Option<usize>; 2],
+    /// The data centre whose targets are selected only if no other target is eligible.
+    pub(super) avoid_data_centre: Option<usize>,
     /// Whether the flow may probe a silent target.
     pub(super) may_probe: bool,
     /// The number of bytes that the client is expected to send in a request.
@@ -82,9 +84,14 @@
             let eligibility = targets[**index].eligibility;
             let allowed = eligibility == Eligibility::Eligible
                 || (criteria.may_probe && eligibility == Eligibility::ProbeOnly);
-            usable(index) && Some(**index) != criteria.avoid && allowed
+            usable(index) && !criteria.avoid.contains(&Some(**index)) && allowed
         };
-        let best = self.cheapest(now, targets, indices.iter().filter(eligible), criteria);
+        let preferred =
+            |index: &&usize| criteria.avoid_data_centre != Some(targets[**index].data_centre_index);
+        let best = indices.iter().filter(eligible).filter(preferred);
+        let best = self
+            .cheapest(now, targets, best, criteria)
+            .or_else(|| self.cheapest(now, targets, indices.iter().filter(eligible), criteria));
         let all_suspect = best.is_none();
         let best =
             best.or_else(|| self.cheapest(now, targets, indices.iter().filter(usable), criteria));
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,6 +1,7 @@
 //! The router of packets whose encapsulation carries a routing token.
 
 mod learning;
+mod second_copies;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -9,10 +10,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::observed_target::ObservedTarget;
-use super::open_flows::OpenFlows;
+use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
 use super::relative_latency::RouteMeans;
 use super::routing_token::RoutingToken;
+use super::second_openings::SecondOpenings;
 use super::segment::{ClientSegment, SegmentKind};
 use super::silence::{Eligibility, SilenceDetector};
 use super::target_selector::{Choice, SelectionCriteria, TargetSelector};
@@ -63,6 +65,7 @@
     route_means: RouteMeans,
     overload: OverloadControl,
     selector: TargetSelector,
+    second_openings: SecondOpenings,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
     completed_request: Option<CompletedRequest>,
@@ -89,6 +92,7 @@
             route_means: RouteMeans::default(),
             overload: OverloadControl::default(),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
+            second_openings: SecondOpenings::default(),
             rng,
             decision: None,
             completed_request: None,
@@ -103,6 +107,7 @@
         if adopt {
             let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
             self.route_means.retain(|name| names.contains(name));
+            self.retain_second_copies(|name| names.contains(name));
             let services = routes.by_address.values().flat_map(|rule| &rule.services);
             let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
             self.overload.retain(|service| services.contains(service));
@@ -151,6 +156,7 @@
         if self.is_ready() {
             self.overload.tick(now);
         }
+        self.judge_overtaken(now);
         let expired = self.list.expire(now);
         for name in &expired.removed {
             self.update_target(now, name, Effect::Changed);
@@ -269,6 +275,7 @@
             return Verdict::Drop(DropCause::NotReady);
         }
         let earlier = self.earlier_target(now, &segment.flow, copy);
+        let earlier_second = self.earlier_second_target(now, &segment.flow, copy);
         let Some(service) = self.pick_service(rule) else {
             // The client retransmits after 200 ms and 600 ms, when a target may be registered again.
             return if self.list.is_settled(now) {
@@ -284,7 +291,8 @@
         self.update_eligibility(now, &service);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
         let criteria = SelectionCriteria {
-            avoid: earlier,
+            avoid: [earlier, earlier_second],
+            avoid_data_centre: None,
             may_probe,
             bytes: self.route_means.bytes(&rule.name),
         };
@@ -302,6 +310,7 @@
         self.counters.moved_openings += u64::from(instead_of.is_some());
         self.record_decision(rule, choice, instead_of, version);
         self.track_opening(now, segment, choice.index, instead_of.is_some());
+        self.consider_second_copy(now, segment, copy, rule, choice.index, earlier);
         Verdict::Forward(destination)
     }
 
@@ -380,9 +389,13 @@
         rule: &RouteRule,
     ) -> Verdict {
         let Some(echoed) = segment.token else { return Verdict::Drop(DropCause::NoToken) };
+        let second_copies = self.second_openings.budget.is_enabled();
         let mut tracked = self.flows.get_mut(&segment.flow);
         // If two targets responded to the opening, the client may echo the token of the other one.
-        let moved = tracked.as_deref().filter(|flow| flow.established && flow.opening_moved);
+        let two_targets = |flow: &&OpenFlow| {
+            flow.opening_moved || (second_copies && flow.is_continued_by(segment))
+        };
+        let moved = tracked.as_deref().filter(|flow| flow.established).filter(two_targets);
         let token = moved.map_or(echoed, |flow| flow.target);
         let Some(&index) = self.by_token.get(&token) else {
             return Verdict::Drop(DropCause::UnknownToken);
--- a/crates/jasminecart-core/src/flow/token/token_router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/learning.rs
@@ -26,7 +26,7 @@
         Some(index)
     }
 
-    fn on_retransmission(
+    pub(super) fn on_retransmission(
         &mut self,
         now: Millis,
         index: usize,
@@ -92,6 +92,9 @@
         if observation.progress {
             self.on_progress(now, index);
         }
+        if let Some(handshake) = observation.handshake {
+            self.second_openings.on_handshake(&rule.name, handshake);
+        }
         if let Some(request) = observation.completed {
             let target = &mut self.targets[index];
             target.active_requests = target.active_requests.saturating_sub(1);
@@ -133,8 +136,10 @@
         let unresolved =
             |flow: &&mut OpenFlow| flow.opening_moved && !flow.established && flow.target != token;
         let Some(flow) = self.flows.get_mut(id).filter(unresolved) else { return };
-        let mut resolved = *flow;
-        resolved.target = token;
+        let earlier = *flow;
+        let mut resolved = earlier;
+        (resolved.target, resolved.second) = (token, None);
+        self.on_opening_resolved(*id, &earlier, index);
         self.remove_flow(id);
         self.targets[index].flows += 1;
         self.targets[index].active_requests += u32::from(resolved.request_started_at.is_some());
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -111,6 +111,12 @@
     pub repeated_openings: u64,
     /// Retransmitted openings that went to another target than the earlier copy.
     pub moved_openings: u64,
+    /// Second copies of openings that were sent.
+    pub second_copies: u64,
+    /// Second copies of openings that were due and not sent.
+    pub second_copies_withheld: u64,
+    /// Flows that opened at the target of the second copy.
+    pub second_copies_won: u64,
     /// Packets of open flows that were forwarded.
     pub forwarded: u64,
     /// Flows that were reset.
--- a/crates/jasminecart-core/src/second_copies/budget.rs
+++ b/crates/jasminecart-core/src/second_copies/budget.rs
@@ -1,14 +1,10 @@
 //! The limit on second copies, and the token bucket that enforces it.
 
-use crate::ini::{Problems, Section};
-
 /// Credit is counted in ten-thousandths of a copy, since the share has a resolution of 0.01 %.
 const CREDIT_PER_COPY: u64 = 10_000;
 const MAX_SHARE_PERCENT: f64 = 20.0;
 const MAX_BURST: u32 = 1_000;
 const DEFAULT_BURST: u32 = 10;
-const EXPECTED_SHARE: &str = "a percentage from 0 to 20, such as 2.5";
-const EXPECTED_BURST: &str = "a number from 1 to 1000";
 
 /// How many second copies operators accept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +21,9 @@
 }
 
 impl SecondCopyLimit {
+    /// The burst if none is set.
+    pub const DEFAULT_BURST: u32 = DEFAULT_BURST;
+
     /// Creates a limit of `percent` second copies for each 100 first ones and of `burst` at once. Returns `None`
     /// if a value is out of bounds, or if `percent` is positive and below the resolution of 0.01.
     pub fn new(percent: f64, burst: u32) -> Option<SecondCopyLimit> {
@@ -35,21 +34,15 @@
         (share > 0 || percent == 0.0).then_some(SecondCopyLimit { share, burst })
     }
 
-    /// Reads the section `[second_copies]` of the settings. Problems are reported, and their keys have their
-    /// defaults then.
-    pub fn read(mut section: Section, problems: &mut Problems) -> SecondCopyLimit {
-        let valid = |percent, burst| SecondCopyLimit::new(percent, burst);
-        let share = section.optional(problems, "share", EXPECTED_SHARE, |text| {
-            text.parse().ok().and_then(|percent| valid(percent, DEFAULT_BURST))
-        });
-        let burst = section.optional(problems, "burst", EXPECTED_BURST, |text| {
-            text.parse().ok().and_then(|burst| valid(0.0, burst))
-        });
-        section.finish(problems);
-        SecondCopyLimit {
-            share: share.unwrap_or_default().share,
-            burst: burst.unwrap_or_default().burst,
-        }
+    /// Parses the percentage of a limit.
+    pub fn parse_share(text: &str) -> Option<f64> {
+        let valid = |percent: &f64| SecondCopyLimit::new(*percent, DEFAULT_BURST).is_some();
+        text.parse().ok().filter(valid)
+    }
+
+    /// Parses the burst of a limit.
+    pub fn parse_burst(text: &str) -> Option<u32> {
+        text.parse().ok().filter(|burst| (1..=MAX_BURST).contains(burst))
     }
 
     /// Returns whether any second copy may be sent.
@@ -105,6 +98,12 @@
         allowed
     }
 
+    /// Returns the quantile of the latencies after which a second copy is sent: half of the share's second copies
+    /// follow from it, and the other half is left for times with more slow responses.
+    pub fn quantile(&self) -> f64 {
+        1.0 - f64::from(self.limit.share) / CREDIT_PER_COPY as f64 / 2.0
+    }
+
     /// Returns how many second copies may be sent at once now.
     pub fn available(&self) -> u64 {
         self.credit / CREDIT_PER_COPY
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -6,6 +6,7 @@
 mod refusing_targets;
 mod restored_store;
 mod routing;
+mod second_copies;
 mod sharing;
 mod silent_targets;
 mod slow_targets;
--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -74,6 +74,8 @@
                     Ok(()) => self.forwarder.receive(),
                     Err(error) => report_socket(&error),
                 },
+                // Last, because the packets that wait may follow an opening up.
+                () = self.forwarder.second_copy_due() => self.forwarder.send_second_copies(),
             }
         }
     }
@@ -134,7 +136,10 @@
     fn on_command(&mut self, command: Command) {
         let now = self.shared.clock.now();
         match command {
-            Command::Reload(settings) => self.peers.set_settings(&settings),
+            Command::Reload(settings) => {
+                self.peers.set_settings(&settings);
+                self.forwarder.set_second_copy_limit(settings.second_copies);
+            }
             Command::Leave => {
                 if self.peers.leave(now) {
                     self.sharing.set_members(self.peers.members());
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -2,7 +2,7 @@
 
 use jasminecart_core::flow::token::{
     ClientSegment, CompletedRequest, Decision, DropCause, FlowId, OverloadChange, ResetCause,
-    SuspicionChange,
+    SecondCopyEvent, SecondCopyRefusal, SuspicionChange,
 };
 use jasminecart_core::names::Name;
 use jasminecart_core::time::Millis;
@@ -11,7 +11,7 @@
 
 use crate::edges::{SegmentError, Snapshot};
 use crate::keys::VerifyError;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, ResultLabel};
 
 /// The maximum number of lines about packets per second. The busiest VM opens about 100 flows a second.
 const MAX_LINES_PER_SECOND: u32 = 150;
@@ -72,6 +72,32 @@
         );
     }
 
+    pub(crate) fn second_copy(&mut self, now: Millis, metrics: &Metrics, event: &SecondCopyEvent) {
+        let result = second_copy_label(event);
+        metrics.second_copies.get_or_create(&ResultLabel { result }).inc();
+        if !self.admit(now, metrics) {
+            return;
+        }
+        match event {
+            SecondCopyEvent::Sent { flow: id, route, first, second, after, budget } => info!(
+                event = "second-copy", flow = flow(id).as_str(), result = result,
+                route = route.as_str(), first = first.as_str(), second = second.as_str(),
+                after_ms = after.get(), budget = budget;
+                "a second copy of an opening was sent to another target"
+            ),
+            SecondCopyEvent::Withheld { flow: id, route, .. } => info!(
+                event = "second-copy", flow = flow(id).as_str(), result = result,
+                route = route.as_str();
+                "a second copy of an opening was due and not sent"
+            ),
+            SecondCopyEvent::Won { flow: id, second } => info!(
+                event = "second-copy", flow = flow(id).as_str(), result = result,
+                second = second.as_str();
+                "a flow opened at the target of the second copy"
+            ),
+        }
+    }
+
     pub(crate) fn reset(
         &mut self,
         now: Millis,
@@ -203,6 +229,20 @@
     format!("{}>{}", flow.client, flow.service)
 }
 
+fn second_copy_label(event: &SecondCopyEvent) -> &'static str {
+    match event {
+        SecondCopyEvent::Sent { .. } => "sent",
+        SecondCopyEvent::Won { .. } => "won",
+        SecondCopyEvent::Withheld { refusal, .. } => match refusal {
+            SecondCopyRefusal::Budget => "withheld-budget",
+            SecondCopyRefusal::Overload => "withheld-overload",
+            SecondCopyRefusal::NoTarget => "withheld-no-target",
+            SecondCopyRefusal::Unanswered => "withheld-unanswered",
+            SecondCopyRefusal::Late => "withheld-late",
+        },
+    }
+}
+
 pub(crate) fn reset_label(cause: ResetCause) -> &'static str {
     match cause {
         ResetCause::NoRoute => "no-route",
--- a/crates/jasminecart-forward/src/forwarder.rs
+++ b/crates/jasminecart-forward/src/forwarder.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use jasminecart_core::flow::token::{
     ClientSegment, Destination, DropCause, ResetCause, SegmentKind, TokenRouter, Verdict,
 };
 use jasminecart_core::names::Name;
+use jasminecart_core::second_copies::SecondCopyLimit;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
     Effect, Routes, SharedChanges, StoreRevision, TargetChange, TargetRecord,
@@ -21,6 +23,7 @@
 use crate::events::{self, Events, ViewVersion};
 use crate::metrics::{CauseLabel, KindLabel, RouteLabel};
 use crate::process::Shared;
+use crate::retained::RetainedOpenings;
 
 /// The size of the receive buffer. Packets carry up to 1,200 bytes of data, so that a longer datagram is
 /// malformed.
@@ -37,6 +40,7 @@
     events: Events,
     revision: StoreRevision,
     backlog: Backlog,
+    retained: RetainedOpenings,
     datagram: Box<[u8]>,
     out: Vec<u8>,
 }
@@ -56,6 +60,7 @@
             events: Events::default(),
             revision: StoreRevision::default(),
             backlog: Backlog::default(),
+            retained: RetainedOpenings::default(),
             datagram: vec![0; MAX_DATAGRAM].into(),
             out: Vec::with_capacity(MAX_DATAGRAM),
         }
@@ -180,6 +185,59 @@
         }
         let view_version = self.view_version(now);
         self.events.opened(now, &self.shared.metrics, segment, &decision, view_version);
+        self.handle_second_copy(now, datagram, segment);
+    }
+
+    /// Sends the second copy of an opening, if it goes out together with the first, or keeps the packet for a
+    /// later one.
+    fn handle_second_copy(&mut self, now: Millis, datagram: &[u8], segment: &ClientSegment) {
+        if let Some(destination) = self.router.take_immediate_second_copy() {
+            self.send_copy(datagram, destination);
+        }
+        if self.router.awaits_second_copy(now, &segment.flow) {
+            self.retained.insert(segment.flow, now, datagram);
+        }
+        self.report_second_copies(now);
+    }
+
+    fn send_copy(&mut self, datagram: &[u8], destination: Destination) {
+        self.out.clear();
+        self.encapsulation.encode(datagram, destination.label, destination.token, &mut self.out);
+        self.send(destination.address);
+        self.shared.metrics.forwarded.inc();
+    }
+
+    /// Completes when a second copy of an opening is due. It never does if none waits.
+    pub(crate) async fn second_copy_due(&self) {
+        match self.router.next_second_copy_at() {
+            Some(due_at) => {
+                let remaining: Duration = due_at.since(self.shared.clock.now()).into();
+                tokio::time::sleep(remaining).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Sends the second copies of openings that are due.
+    pub(crate) fn send_second_copies(&mut self) {
+        let now = self.shared.clock.now();
+        for copy in self.router.due_second_copies(now) {
+            let datagram = self.retained.take(copy.flow, copy.sent_at);
+            if let Some((destination, datagram)) = copy.destination.zip(datagram) {
+                self.send_copy(&datagram, destination);
+            }
+        }
+        self.report_second_copies(now);
+    }
+
+    fn report_second_copies(&mut self, now: Millis) {
+        for event in self.router.take_second_copy_events() {
+            self.events.second_copy(now, &self.shared.metrics, &event);
+        }
+    }
+
+    pub(crate) fn set_second_copy_limit(&mut self, limit: SecondCopyLimit) {
+        self.router.set_second_copy_limit(limit);
     }
 
     fn send(&self, to: SocketAddrV4) {
@@ -332,6 +390,7 @@
 
     pub(crate) fn tick(&mut self, now: Millis) {
         self.router.tick(now);
+        self.report_second_copies(now);
         self.router.take_overload_changes().iter().for_each(events::overload_changed);
         let metrics = &self.shared.metrics;
         metrics.flows.set(self.router.tracked_flows() as i64);
--- a/crates/jasminecart-forward/src/lib.rs
+++ b/crates/jasminecart-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 mod process;
 mod readiness;
+mod retained;
 mod settings;
 mod streams;
 
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -27,6 +27,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// The label of the metric that counts second copies of openings.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ResultLabel {
+    pub(crate) result: &'static str,
+}
+
 /// The label of the metric that counts outdated entries.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct KindLabel {
@@ -48,6 +54,7 @@
     pub(crate) openings: Family<RouteLabel, Counter>,
     pub(crate) repeated_openings: Counter,
     pub(crate) moved_openings: Counter,
+    pub(crate) second_copies: Family<ResultLabel, Counter>,
     pub(crate) resets: Family<CauseLabel, Counter>,
     pub(crate) drops: Family<CauseLabel, Counter>,
     pub(crate) send_failures: Counter,
@@ -105,6 +112,10 @@
             openings: register!(openings, "Openings that got a target, by route"),
             repeated_openings: register!(repeated_openings, "Openings that clients repeated"),
             moved_openings: register!(moved_openings, "Repeated openings sent to another target"),
+            second_copies: register!(
+                second_copies,
+                "Second copies of openings: sent, won (the flow opened there), or withheld, by result"
+            ),
             resets: register!(resets, "Resets sent to clients, by cause"),
             drops: register!(drops, "Datagrams dropped, by cause"),
             send_failures: register!(send_failures, "Datagrams that the system did not take"),
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -92,7 +92,8 @@
     let followed = feed::follow(Rc::new(directory), limits, metrics.clone(), mode_rx, tx);
     tokio::task::spawn_local(followed);
     let socket = bind("packet", settings.listen.packets).await?;
-    let router = TokenRouter::new(&settings.me, seed, TokenRouterLimits::default());
+    let mut router = TokenRouter::new(&settings.me, seed, TokenRouterLimits::default());
+    router.set_second_copy_limit(settings.second_copies);
     let peer_socket = bind("peer", settings.listen.peers).await?;
     let peers = Peers::new(&settings, peer_socket, incarnation(), seed, metrics);
     let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
