Limit and time hedged requests by the settings of second copies

The entry process sent a second attempt after three times the target's mean latency, limited by the retry budget alone. With `[second_copies] share` above 0 it is sent after a percentile of the service's own latencies, which follows from the share (half of the share's attempts), and only within share and burst; the retry budget, attempt limit and congestion rule stay in force. An attempt that was due and withheld is counted once for each request, and responses that came from the second attempt are counted. With share 0 the counters of a run equal those of a run without the setting.

Latencies count from the first attempt in progress: the latency of a second attempt that wins would shorten the delay each time.

--- a/crates/jasminecart-core/src/request/admit.rs
+++ b/crates/jasminecart-core/src/request/admit.rs
@@ -145,6 +145,7 @@
             attempts_sent: 0,
             may_have_run: false,
             tried_targets: Vec::new(),
+            hedge_withheld: false,
         };
         self.requests.insert(id, request);
         self.queue(now, id, now);
--- a/crates/jasminecart-core/src/request/assign.rs
+++ b/crates/jasminecart-core/src/request/assign.rs
@@ -330,6 +330,7 @@
             queue.record_assignment(now, now.since(since));
         }
         if first {
+            self.hedging.record_first();
             let percent = self.document.as_ref().map_or(0, |d| d.limits().retry_percent);
             self.retry_budgets.entry(service.clone()).or_default().record_first_attempt(percent);
         }
--- a/crates/jasminecart-core/src/request/dispatcher.rs
+++ b/crates/jasminecart-core/src/request/dispatcher.rs
@@ -9,6 +9,7 @@
 use super::assign::SlotAccess;
 use super::concurrency_limit::ConcurrencyLimit;
 use super::handover::Handover;
+use super::hedging::Hedging;
 use super::keys::{KeyRegistry, issuer_of};
 use super::leases::LeaseTable;
 use super::outbox::Outbox;
@@ -49,6 +50,8 @@
     /// Whether an attempt ended without a definite outcome, so that the request may have run.
     pub(super) may_have_run: bool,
     pub(super) tried_targets: Vec<Name>,
+    /// Whether a second attempt was due and not sent. It is not considered again.
+    pub(super) hedge_withheld: bool,
 }
 
 /// An attempt that occupies a slot of its target.
@@ -80,6 +83,7 @@
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) fanouts: BTreeMap<(Name, u8), usize>,
     pub(super) retry_budgets: BTreeMap<Name, RetryBudget>,
+    pub(super) hedging: Hedging,
     pub(super) tenants: Tenants,
     pub(super) scores: Scores,
     pub(super) leases: LeaseTable,
@@ -113,6 +117,7 @@
         Dispatcher {
             keys: KeyRegistry::new((me.clone(), incarnation), secret, limits.max_keys),
             leases: LeaseTable::new(limits.lease),
+            hedging: Hedging::new(limits.second_copies),
             me,
             incarnation,
             limits,
@@ -163,6 +168,7 @@
         }
         self.slot_requests.retain_targets(|target| document.targets().contains_key(target));
         self.tenants.retain_tenants(document.tenants());
+        self.hedging.retain_services(|service| document.services().contains_key(service));
         self.update_homes(now, &mut out);
         self.refuse_removed_services(now, &mut out);
         self.dispatch_all(now, &mut out);
--- a/crates/jasminecart-core/src/request/finish.rs
+++ b/crates/jasminecart-core/src/request/finish.rs
@@ -64,7 +64,10 @@
         request.may_have_run |= matches!(outcome, Outcome::Failed(_));
         let others_run = !request.attempts.is_empty() || request.position.is_some();
         match outcome {
-            Outcome::Done { status } => self.complete(now, attempt.request, status, out),
+            Outcome::Done { status } => {
+                self.record_hedging(now, attempt);
+                self.complete(now, attempt.request, status, out);
+            }
             Outcome::NotRun(_) | Outcome::Failed(_) if others_run => {}
             Outcome::NotRun(cause) => {
                 let can_resend = request.meta.repeatable || cause == NotRunCause::NotSent;
@@ -256,8 +259,12 @@
             let queue = self.queues.get(&request.meta.service);
             let congested = queue.is_some_and(|queue| queue.is_congested(now));
             let budget = self.retry_budgets.entry(request.meta.service.clone()).or_default();
-            if !congested && budget.spend() {
+            let within_limit = !self.hedging.is_enabled() || self.hedging.allows();
+            if !congested && within_limit && budget.spend() {
+                self.hedging.spend();
                 self.queue(now, id, now);
+            } else if self.hedging.is_enabled() {
+                self.withhold_hedge(id);
             }
         }
     }
@@ -271,17 +278,42 @@
         let single = request.attempts.len() == 1
             && request.position.is_none()
             && request.attempts_sent < attempt_limit;
-        if attempt.cancelled_at.is_some() || !safe_to_repeat || !single {
+        if attempt.cancelled_at.is_some() || !safe_to_repeat || !single || request.hedge_withheld {
             return false;
         }
-        let Some(average) = self.scores.get(&attempt.target).and_then(|score| score.response_ms())
-        else {
-            return false;
-        };
-        let slow = Millis((average * HEDGE_FACTOR) as u64).max(MIN_HEDGE_DELAY);
+        let Some(slow) = self.hedge_delay(attempt) else { return false };
         let others =
             self.target_index.active(&attempt.service).map_or(0, |active| active.len()) > 1;
         let granted = self.slot_access(now, &attempt.target) != SlotAccess::Direct;
         others && granted && now.since(attempt.sent_at) > slow
     }
+
+    /// Returns how long an attempt may take before its request gets a second one. With a limit on second copies
+    /// it follows from the latencies of the service, otherwise from the mean of the target.
+    fn hedge_delay(&self, attempt: &Attempt) -> Option<Millis> {
+        if self.hedging.is_enabled() {
+            return self.hedging.delay(&attempt.service).map(|delay| delay.max(MIN_HEDGE_DELAY));
+        }
+        let average = self.scores.get(&attempt.target)?.response_ms()?;
+        Some(Millis((average * HEDGE_FACTOR) as u64).max(MIN_HEDGE_DELAY))
+    }
+
+    fn withhold_hedge(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.hedge_withheld = true;
+            self.counters.hedges_withheld += 1;
+        }
+    }
+
+    /// Records the latency of a request that completed, and whether its second attempt was the faster one. The
+    /// latency counts from the earlier attempt in progress. That of the second attempt alone would shorten the
+    /// delay with each second attempt that wins.
+    fn record_hedging(&mut self, now: Millis, attempt: &Attempt) {
+        let Some(request) = self.requests.get(&attempt.request) else { return };
+        let others = request.attempts.iter().filter_map(|id| self.attempts.get(id));
+        let earliest = others.map(|other| other.sent_at).min().unwrap_or(attempt.sent_at);
+        self.counters.hedges_won += u64::from(earliest < attempt.sent_at);
+        let latency = now.since(earliest.min(attempt.sent_at));
+        self.hedging.on_completed(&attempt.service, latency);
+    }
 }
--- a/crates/jasminecart-core/src/request/mod.rs
+++ b/crates/jasminecart-core/src/request/mod.rs
@@ -20,6 +20,7 @@
 mod dispatcher;
 mod finish;
 mod handover;
+mod hedging;
 mod keys;
 mod leases;
 mod messages;
--- a/crates/jasminecart-core/src/request/types.rs
+++ b/crates/jasminecart-core/src/request/types.rs
@@ -9,6 +9,7 @@
 
 use crate::message::Outgoing;
 use crate::names::{Incarnation, Name, VmId};
+use crate::second_copies::SecondCopyLimit;
 use crate::time::Millis;
 
 /// The identity of a request in one process.
@@ -422,6 +423,9 @@
     pub max_requests: usize,
     /// How long the lease of a granted slot is valid without a renewal.
     pub lease: Millis,
+    /// The limit on second attempts while the first is in progress. The default limit leaves them to the retry
+    /// budget of the service alone.
+    pub second_copies: SecondCopyLimit,
     /// How long a home may leave a slot request without a response before its targets are used
     /// directly.
     pub home_timeout: Millis,
@@ -433,6 +437,7 @@
             max_keys: 100_000,
             max_requests: 20_000,
             lease: Millis(3_000),
+            second_copies: SecondCopyLimit::default(),
             home_timeout: Millis(500),
         }
     }
@@ -471,6 +476,11 @@
     pub retries: u64,
     /// Second attempts sent while the first was still in progress.
     pub hedges: u64,
+    /// Requests that got no second attempt although one was due, because the budget of second copies or of
+    /// retries was exhausted or slots were scarce. Counted if second copies are enabled.
+    pub hedges_withheld: u64,
+    /// Requests whose response came from the second of two attempts in progress.
+    pub hedges_won: u64,
     /// Requests refused.
     pub refused: u64,
     /// Requests refused as `not-run`.
--- a/crates/jasminecart-core/tests/request/main.rs
+++ b/crates/jasminecart-core/tests/request/main.rs
@@ -2,6 +2,7 @@
 
 mod contract;
 mod faults;
+mod hedging;
 mod random;
 mod support;
 mod world;
--- a/crates/jasminecart-core/tests/request/world.rs
+++ b/crates/jasminecart-core/tests/request/world.rs
@@ -58,6 +58,7 @@
 }
 
 pub(crate) struct World {
+    limits: DispatchLimits,
     pub(crate) now: u64,
     pub(crate) vms: Vec<Vm>,
     pub(crate) targets: BTreeMap<Name, Target>,
@@ -75,6 +76,10 @@
 
 impl World {
     pub(crate) fn new(vms: usize, targets: usize) -> World {
+        World::with_limits(vms, targets, DispatchLimits::default())
+    }
+
+    pub(crate) fn with_limits(vms: usize, targets: usize, limits: DispatchLimits) -> World {
         let target = || Target {
             mode: Mode::Serve,
             slots: 2,
@@ -84,6 +89,7 @@
         };
         let mut world = World {
             now: 1,
+            limits,
             vms: Vec::new(),
             targets: (0..targets).map(|i| (Name::new(format!("t{i}")), target())).collect(),
             cut_links: BTreeSet::new(),
@@ -104,7 +110,7 @@
     fn vm(&self, index: usize, start: u64) -> Vm {
         let seed = 100 * start + index as u64;
         let mut dispatcher =
-            Dispatcher::new(vm_id(index), Incarnation(start), seed, DispatchLimits::default());
+            Dispatcher::new(vm_id(index), Incarnation(start), seed, self.limits.clone());
         dispatcher.set_document(Millis(self.now), &self.document);
         let (state, sent) = (MemberState::Active, BTreeMap::new());
         Vm { dispatcher, start, state, paused_until: 0, sent }
--- a/crates/jasminecart-entry/src/entry.rs
+++ b/crates/jasminecart-entry/src/entry.rs
@@ -237,8 +237,11 @@
         let Builder { settings, seed, incarnation, .. } = self;
         let me = settings.me.clone();
         #[allow(clippy::needless_update)] // New limits of jasminecart-core need no change here.
-        let dispatch =
-            DispatchLimits { max_keys: settings.limits.max_keys, ..DispatchLimits::default() };
+        let dispatch = DispatchLimits {
+            max_keys: settings.limits.max_keys,
+            second_copies: settings.second_copies,
+            ..DispatchLimits::default()
+        };
         let membership =
             Membership::new(me.clone(), *incarnation, address, *seed, MemberLimits::default());
         ControlParts {
--- a/crates/jasminecart-entry/src/request/run.rs
+++ b/crates/jasminecart-entry/src/request/run.rs
@@ -216,6 +216,11 @@
             let not_sent = Outcome::NotRun(NotRunCause::NotSent);
             return self.cx.report_outcome(id, not_sent).await;
         }
+        if !self.attempts.running.is_empty() {
+            let (vm, service) = (self.cx.vm.as_str(), service.name.as_str());
+            let elapsed = self.cx.clock.now().since(self.received_at);
+            log::info!(event = "second_attempt", vm = vm, service = service, target = target.as_str(), after_ms = elapsed.get(); "a second attempt was sent while the first is in progress");
+        }
         let cancel = CancellationToken::new();
         self.attempts.cancels.insert(id, cancel.clone());
         let running = attempt(self.cx.clone(), self.request.clone(), plan, cancel);
