Merge second copies of openings and hedged requests

Cause: an opening that is lost costs its client up to 1.4 s, and a few slow responses dominate the tail; operators accept some extra work for requests that may be repeated. Change: a limit (share and burst) on second copies for both doors, off by default. Second copies are selected like first ones, so that evacuations, the limit on cold targets and equal tokens apply to them too.

--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -3,9 +3,11 @@
 mod cold;
 mod evacuation;
 mod learning;
+mod second_copies;
 mod services;
 
 use std::collections::HashSet;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use rand::{RngExt as _, SeedableRng as _};
@@ -17,6 +19,8 @@
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
 use super::relative_latency::RouteMeans;
+use super::routing_token::RoutingToken;
+use super::second_openings::SecondOpenings;
 use super::segment::{ClientSegment, SegmentKind};
 use super::service_load::ServiceLoads;
 use super::silence::{Eligibility, SilenceDetector};
@@ -83,6 +87,7 @@
     cold_targets: ColdTargets,
     loads: ServiceLoads,
     selector: TargetSelector,
+    second_openings: SecondOpenings,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
     completed_request: Option<CompletedRequest>,
@@ -113,6 +118,7 @@
             cold_targets: ColdTargets::new(me.clone(), limits.warm_up),
             loads: ServiceLoads::default(),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
+            second_openings: SecondOpenings::default(),
             rng,
             decision: None,
             completed_request: None,
@@ -128,6 +134,7 @@
         if adopt {
             let names: HashSet<&Name> = routes.by_address.values().map(|rule| &rule.name).collect();
             self.route_means.retain(|name| names.contains(name));
+            self.retain_second_copies(|name| names.contains(name));
             let services = routes.by_address.values().flat_map(|rule| &rule.services);
             let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
             self.overload.retain(|service| services.contains(service));
@@ -181,6 +188,7 @@
             self.tick_loads(now);
         }
         self.expire_evacuations(now);
+        self.judge_overtaken(now);
         let expired = self.list.expire(now);
         for name in &expired.removed {
             self.update_target(now, name, Effect::Changed);
@@ -300,6 +308,7 @@
             return Verdict::Drop(DropCause::NotReady);
         }
         let earlier = self.earlier_target(now, &segment.flow, copy);
+        let earlier_second = self.earlier_second_target(now, &segment.flow, copy);
         let Some(SelectedService { name: service, instead_of: passed_by }) =
             self.select_service(now, rule)
         else {
@@ -317,24 +326,17 @@
         self.update_eligibility(now, &service);
         let withheld = self.update_cold_targets(now, &service);
         self.counters.withheld_openings += u64::from(withheld);
-        let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
-        let bytes = self.route_means.bytes(&rule.name);
-        let mut ambiguous = Vec::new();
-        let (choice, token) = loop {
-            let criteria =
-                SelectionCriteria { ambiguous: &ambiguous, avoid: earlier, may_probe, bytes };
-            let choice = self.selector.choose(now, &self.targets, indices, criteria);
-            let Some(choice) = choice else {
-                let cause = if withheld { ResetCause::TargetsCold } else { ResetCause::NoTarget };
-                return Verdict::Reset(cause);
-            };
-            let token = self.targets[choice.index].key.token(segment.flow.service);
-            if !self.tokens.is_shared(choice.index, token, segment.flow.service) {
-                break (choice, token);
-            }
-            // A VM that does not know the flow could not tell which of the targets has it.
-            self.counters.ambiguous += 1;
-            ambiguous.push(choice.index);
+        let criteria = SelectionCriteria {
+            ambiguous: &[],
+            avoid: [earlier, earlier_second],
+            avoid_data_centre: None,
+            may_probe,
+            bytes: self.route_means.bytes(&rule.name),
+        };
+        let address = segment.flow.service;
+        let Some((choice, token)) = self.choose_target(now, &service, address, criteria) else {
+            let cause = if withheld { ResetCause::TargetsCold } else { ResetCause::NoTarget };
+            return Verdict::Reset(cause);
         };
         self.count_cold_opening(now, choice.index);
         let target = &mut self.targets[choice.index];
@@ -352,9 +354,33 @@
             decision.passed_by = passed_by;
         }
         self.track_opening(now, segment, choice.index, token, instead_of.is_some());
+        self.consider_second_copy(now, segment, copy, rule, choice.index, earlier);
         Verdict::Forward(destination)
     }
 
+    /// Selects a target of a service whose token for the service address no other target has. A VM that does not
+    /// know the flow could not tell which of two targets with one token has it.
+    fn choose_target(
+        &mut self,
+        now: Millis,
+        service: &Name,
+        address: SocketAddrV4,
+        criteria: SelectionCriteria<'_>,
+    ) -> Option<(Choice, RoutingToken)> {
+        let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut ambiguous = Vec::new();
+        loop {
+            let criteria = SelectionCriteria { ambiguous: &ambiguous, ..criteria };
+            let choice = self.selector.choose(now, &self.targets, indices, criteria)?;
+            let token = self.targets[choice.index].key.token(address);
+            if !self.tokens.is_shared(choice.index, token, address) {
+                return Some((choice, token));
+            }
+            self.counters.ambiguous += 1;
+            ambiguous.push(choice.index);
+        }
+    }
+
     /// Returns whether a new flow to a service is opened, or refused because of overload. The
     /// client may retry it: a flow that was never opened has not run anything.
     fn admits(&mut self, now: Millis, service: &Name, rule: &RouteRule) -> bool {
@@ -408,10 +434,14 @@
         rule: &RouteRule,
     ) -> Verdict {
         let Some(echoed) = segment.token else { return Verdict::Drop(DropCause::NoToken) };
+        let second_copies = self.second_openings.budget.is_enabled();
         let mut tracked = self.flows.get_mut(&segment.flow);
         // If two targets responded to the opening, the client may echo the token of the other one.
-        let is_known =
-            |flow: &&OpenFlow| flow.token == echoed || (flow.established && flow.opening_moved);
+        let is_known = |flow: &&OpenFlow| {
+            let opened_twice =
+                flow.opening_moved || (second_copies && flow.is_continued_by(segment));
+            flow.token == echoed || (flow.established && opened_twice)
+        };
         let (token, found) = match tracked.as_deref().filter(is_known) {
             Some(flow) => {
                 (flow.token, self.tokens.index_of(flow.target).ok_or(DropCause::UnknownToken))
--- a/crates/jasminecart-core/src/flow/token/token_router/learning.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/learning.rs
@@ -27,7 +27,7 @@
         Some(index)
     }
 
-    fn on_retransmission(
+    pub(super) fn on_retransmission(
         &mut self,
         now: Millis,
         index: usize,
@@ -94,6 +94,9 @@
         if observation.progress {
             self.on_progress(now, index);
         }
+        if let Some(handshake) = observation.handshake {
+            self.second_openings.on_handshake(&rule.name, handshake);
+        }
         if let Some(request) = observation.completed {
             let target = &mut self.targets[index];
             target.active_requests = target.active_requests.saturating_sub(1);
@@ -136,8 +139,10 @@
         let unresolved =
             |flow: &&mut OpenFlow| flow.opening_moved && !flow.established && flow.target != target;
         let Some(flow) = self.flows.get_mut(id).filter(unresolved) else { return };
-        let mut resolved = *flow;
-        (resolved.target, resolved.token) = (target, token);
+        let earlier = *flow;
+        let mut resolved = earlier;
+        (resolved.target, resolved.token, resolved.second) = (target, token, None);
+        self.on_opening_resolved(*id, &earlier, index);
         self.remove_flow(id);
         self.targets[index].flows += 1;
         self.targets[index].active_requests += u32::from(resolved.request_started_at.is_some());
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -10,6 +10,7 @@
 mod refusing_targets;
 mod restored_store;
 mod routing;
+mod second_copies;
 mod service_selection;
 mod sharing;
 mod silent_targets;
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -42,6 +42,12 @@
     pub(crate) service: String,
 }
 
+/// The label of the metric that counts second copies of openings.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ResultLabel {
+    pub(crate) result: &'static str,
+}
+
 /// The label of the metric that counts outdated entries.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct KindLabel {
@@ -66,6 +72,7 @@
     pub(crate) ambiguous: Gauge,
     pub(crate) passed_openings: Family<PassedLabel, Counter>,
     pub(crate) refused_openings: Family<RefusedLabel, Counter>,
+    pub(crate) second_copies: Family<ResultLabel, Counter>,
     pub(crate) resets: Family<CauseLabel, Counter>,
     pub(crate) drops: Family<CauseLabel, Counter>,
     pub(crate) send_failures: Counter,
@@ -136,6 +143,10 @@
                 "Openings sent to another service of the route, by the service that could not carry them"
             ),
             refused_openings: register!(refused_openings, "Openings refused, by cause and route"),
+            second_copies: register!(
+                second_copies,
+                "Second copies of openings: sent, won (the flow opened there), or withheld, by result"
+            ),
             resets: register!(resets, "Resets sent to clients, by cause"),
             drops: register!(drops, "Datagrams dropped, by cause"),
             send_failures: register!(send_failures, "Datagrams that the system did not take"),
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -94,7 +94,8 @@
     let socket = bind("packet", settings.listen.packets).await?;
     let router_limits =
         TokenRouterLimits { warm_up: settings.warm_up, ..TokenRouterLimits::default() };
-    let router = TokenRouter::new(&settings.me, seed, router_limits);
+    let mut router = TokenRouter::new(&settings.me, seed, router_limits);
+    router.set_second_copy_limit(settings.second_copies);
     let peer_socket = bind("peer", settings.listen.peers).await?;
     let peers = Peers::new(&settings, peer_socket, incarnation(), seed, metrics);
     let (stream_tx, stream_rx) = mpsc::channel(STREAM_QUEUE);
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -6,13 +6,15 @@
 pub use jasminecart_core::ini::SettingsErrors;
 use jasminecart_core::ini::{self, Problems, Section};
 use jasminecart_core::names::{Name, VmId};
+use jasminecart_core::second_copies::SecondCopyLimit;
 use jasminecart_core::time::Millis;
 use jasminecart_core::units;
 use log::LevelFilter;
 
 use crate::keys::PeerKeys;
 
-const SECTIONS: [&str; 7] = ["vm", "listen", "directory", "peers", "limits", "warm_up", "log"];
+const SECTIONS: [&str; 8] =
+    ["vm", "listen", "directory", "peers", "limits", "warm_up", "second_copies", "log"];
 const NAME: &str = "a name of 1 to 63 letters, digits, \"-\", \"_\" or \".\"";
 const SOCKET: &str = "an IPv4 address and port such as 10.0.0.5:8080";
 const EXPECTED_DURATION: &str = "a span of 1 ms to 1 h such as 250ms, 30s or 5m";
@@ -44,6 +46,8 @@
     pub limits: LimitSettings,
     /// The limit on new flows to targets that started recently, if there is one.
     pub warm_up: Option<WarmUpLimit>,
+    /// The limit on second copies of openings.
+    pub second_copies: SecondCopyLimit,
     /// The lowest severity that is logged.
     pub log_level: LevelFilter,
 }
@@ -125,6 +129,7 @@
     peers.finish(problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
     let warm_up = read_warm_up(ini::take(sections, "warm_up"), problems);
+    let second_copies = read_second_copies(ini::take(sections, "second_copies"), problems);
     let mut log = ini::take(sections, "log");
     let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
     let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
@@ -144,6 +149,7 @@
         peer_keys,
         limits,
         warm_up,
+        second_copies,
         log_level,
     })
 }
@@ -195,6 +201,16 @@
     Some(WarmUpLimit { overage: overage?, slack: slack? })
 }
 
+fn read_second_copies(mut section: Section, problems: &mut Problems) -> SecondCopyLimit {
+    let expected = "a percentage from 0 to 20, such as 2.5";
+    let share = section.optional(problems, "share", expected, SecondCopyLimit::parse_share);
+    let expected = "a number from 1 to 1000";
+    let burst = section.optional(problems, "burst", expected, SecondCopyLimit::parse_burst);
+    section.finish(problems);
+    let burst = burst.unwrap_or(SecondCopyLimit::DEFAULT_BURST);
+    SecondCopyLimit::new(share.unwrap_or(0.0), burst).unwrap_or_default()
+}
+
 fn read_duration(
     section: &mut Section,
     problems: &mut Problems,
