Explain where the packets of a flow go, without changing the router

Cause: an operator can only find out why a flow goes to a target from the log of flows that were opened already. Nothing says what excludes a target now.

Change: TokenRouter::explain reads the router through a shared reference and returns route, services, candidates with costs and exclusions, admission, ages of inputs, and where packets of an open flow go. The names of causes move from the forwarding process to the core. Admission's limit and priority rule become read-only functions that the decision and the explanation share.

--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -5,9 +5,10 @@
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `target_tokens` finds the target of a token, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services, and `silence` detects targets that do not respond. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
+//! overloaded services, `silence` detects targets that do not respond, and `explanation` says for operators where a flow goes and why. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
 //! token.
 
+mod explanation;
 mod observed_target;
 mod open_flows;
 mod overload;
@@ -21,6 +22,10 @@
 mod token_router;
 mod verdict;
 
+pub use self::explanation::{
+    Admission, Candidate, Exclusion, Explanation, Inputs, NewFlowExplanation, OpenFlowExplanation,
+    Outcome, RouteExplanation, ServiceExplanation,
+};
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::segment::{ClientSegment, FlowId, SegmentKind};
--- a/crates/jasminecart-core/src/flow/token/open_flows.rs
+++ b/crates/jasminecart-core/src/flow/token/open_flows.rs
@@ -206,6 +206,10 @@
 }
 
 impl OpenFlows {
+    pub(super) fn get(&self, flow: &FlowId) -> Option<&OpenFlow> {
+        self.flows.get(flow)
+    }
+
     pub(super) fn get_mut(&mut self, flow: &FlowId) -> Option<&mut OpenFlow> {
         self.flows.get_mut(flow)
     }
--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -6,6 +6,7 @@
 //! refused: a reset would break them. The limit on requests in progress follows Little's law:
 //! throughput times the latency to keep. `docs/platform.md`, "Overload", has the figures.
 
+use super::explanation::Admission;
 use crate::hashing::HashMap;
 use crate::names::Name;
 use crate::time::Millis;
@@ -94,10 +95,21 @@
 
     /// Records the priority of a request, and returns whether it is the highest of the service.
     fn observe_priority(&mut self, now: Millis, priority: u8) -> bool {
-        if priority <= self.priority || now.since(self.priority_seen_at) > PRIORITY_MEMORY {
+        let urgent = self.is_urgent(now, priority);
+        if urgent {
             (self.priority, self.priority_seen_at) = (priority, now);
         }
-        priority <= self.priority
+        urgent
+    }
+
+    /// Returns whether a priority is the highest of the service.
+    fn is_urgent(&self, now: Millis, priority: u8) -> bool {
+        priority <= self.priority || now.since(self.priority_seen_at) > PRIORITY_MEMORY
+    }
+
+    /// Returns the limit on requests in progress that holds for a new flow.
+    fn limit_for(&self, urgent: bool) -> f64 {
+        self.limit.max(MIN_LIMIT) * if urgent { URGENT_SHARE } else { OTHER_SHARE }
     }
 }
 
@@ -165,14 +177,43 @@
         priority: u8,
         in_progress: impl FnOnce() -> u32,
     ) -> bool {
-        let settled = self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE);
+        let settled = self.is_settled(now);
         let Some(load) = self.services.get_mut(service) else { return true };
         let urgent = load.observe_priority(now, priority);
         if !settled || !load.is_overloaded(now) {
             return true;
         }
-        let share = if urgent { URGENT_SHARE } else { OTHER_SHARE };
-        f64::from(in_progress()) < load.limit.max(MIN_LIMIT) * share
+        f64::from(in_progress()) < load.limit_for(urgent)
+    }
+
+    /// Returns whether clients have had time to repeat what they sent before this VM was ready.
+    fn is_settled(&self, now: Millis) -> bool {
+        self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE)
+    }
+
+    /// Explains what [`OverloadControl::admits`] would decide, and changes nothing.
+    pub(super) fn explain(
+        &self,
+        now: Millis,
+        service: &Name,
+        priority: u8,
+        in_progress: u32,
+    ) -> Admission {
+        let Some(load) = self.services.get(service) else {
+            return Admission { in_progress, urgent: true, ..Admission::default() };
+        };
+        let (overloaded, urgent) = (load.is_overloaded(now), load.is_urgent(now, priority));
+        let limit = load.limit_for(urgent);
+        Admission {
+            overloaded,
+            enforced: overloaded && self.is_settled(now),
+            urgent,
+            limit: Some(limit),
+            in_progress,
+            left: Some((limit - f64::from(in_progress)).max(0.0)),
+            latency_percent_of_objective: Some(100.0 * load.latency_ratio),
+            sampled_ms_ago: Some(now.since(load.sampled_at)),
+        }
     }
 
     /// Updates the limits. Call it about every 100 ms, once this VM has routes and targets.
--- a/crates/jasminecart-core/src/flow/token/silence.rs
+++ b/crates/jasminecart-core/src/flow/token/silence.rs
@@ -133,6 +133,16 @@
         }
     }
 
+    /// Returns the time after which a suspected target may get a probe flow.
+    pub(super) fn probe_in(&self, now: Millis) -> Millis {
+        self.avoid_until.max(self.probe_until) - now
+    }
+
+    /// Returns when a client last acknowledged something that the target sent.
+    pub(super) fn last_contact_at(&self) -> Option<Millis> {
+        self.last_contact_at
+    }
+
     /// Returns whether there is enough evidence to reset open flows that wait for the target.
     pub(super) fn is_confirmed(&self) -> bool {
         self.evidence >= CONFIRMATION_THRESHOLD
--- a/crates/jasminecart-core/src/flow/token/target_selector.rs
+++ b/crates/jasminecart-core/src/flow/token/target_selector.rs
@@ -119,7 +119,13 @@
         best
     }
 
-    fn load(&self, now: Millis, target: &ObservedTarget, criteria: SelectionCriteria<'_>) -> Load {
+    /// Returns the load of a target with the estimated cost of one more request.
+    pub(super) fn load(
+        &self,
+        now: Millis,
+        target: &ObservedTarget,
+        criteria: SelectionCriteria<'_>,
+    ) -> Load {
         let visible = f64::from(target.active_requests) + IDLE_FLOW_LOAD * f64::from(target.flows);
         let waiting = visible + target.refusals.load(now);
         let warm_up = if now < target.warm_up_until { WARM_UP_FACTOR } else { 1.0 };
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,5 +1,6 @@
 //! The router of packets whose encapsulation carries a routing token.
 
+mod explain;
 mod learning;
 
 use std::collections::HashSet;
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -50,6 +50,32 @@
     Overloaded,
 }
 
+impl DropCause {
+    /// Returns the name of the cause in logs, metrics and explanations.
+    pub fn label(self) -> &'static str {
+        match self {
+            DropCause::NotReady => "not-ready",
+            DropCause::NoTargetYet => "no-target-yet",
+            DropCause::UnknownToken => "unknown-token",
+            DropCause::NoToken => "no-token",
+            DropCause::ForeignToken => "foreign-token",
+        }
+    }
+}
+
+impl ResetCause {
+    /// Returns the name of the cause in logs, metrics and explanations.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResetCause::NoRoute => "no-route",
+            ResetCause::NoTarget => "no-target",
+            ResetCause::TargetGone => "target-gone",
+            ResetCause::TargetSilent => "target-silent",
+            ResetCause::Overloaded => "overloaded",
+        }
+    }
+}
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/jasminecart-core/src/version/targets.rs
+++ b/crates/jasminecart-core/src/version/targets.rs
@@ -223,6 +223,11 @@
         self.confirmed_at = self.confirmed_at.max(at);
     }
 
+    /// Returns when the store last confirmed the list.
+    pub fn confirmed_at(&self) -> Millis {
+        self.confirmed_at
+    }
+
     /// Returns whether a target that is not in the list can be considered removed. Live targets may
     /// not have registered again yet shortly after the store's recovery, or shortly after the first
     /// snapshot of a process that started at that time.
--- /dev/null
+++ b/crates/jasminecart-core/tests/token/explain.rs
@@ -0,0 +1,180 @@
+//! Tests of explanations: they match what the router does, and change nothing.
+
+use std::sync::Arc;
+
+use jasminecart_core::flow::token::{
+    Candidate, Decision, Exclusion, Explanation, Outcome, RoutingToken, TokenRouter,
+    TokenRouterLimits, Verdict,
+};
+use jasminecart_core::version::{Repeatable, StoreRevision, TargetState};
+use jasminecart_core::{Millis, Name};
+use test_case::test_case;
+
+use crate::support::*;
+
+fn candidate<'a>(explanation: &'a Explanation, target: &str) -> &'a Candidate {
+    let mut all = explanation.new_flow.services.iter().flat_map(|service| &service.candidates);
+    all.find(|candidate| candidate.target.as_str() == target).expect("the target is listed")
+}
+
+fn forwarded_to(outcome: &Outcome) -> Option<&str> {
+    match outcome {
+        Outcome::Forward { target, .. } => Some(target.as_str()),
+        Outcome::Reset { .. } | Outcome::Drop { .. } => None,
+    }
+}
+
+/// Returns a router whose feeds go to two services, so that openings draw random numbers for service and target.
+fn two_services() -> TokenRouter {
+    let names = ["a", "b", "c", "d", "e"];
+    let desks = names.map(|name| target(&format!("i-desk-{name}"), "desk", "east", 1));
+    let vaults = names.map(|name| target(&format!("i-vault-{name}"), "vault", "west", 1));
+    let mut router = TokenRouter::new(&me(), 7, TokenRouterLimits::default());
+    router.set_targets(
+        Millis::ZERO,
+        desks.into_iter().chain(vaults).collect(),
+        StoreRevision::new(0, 100),
+    );
+    let mut routes = routes(1);
+    let mut feed = rule("feed", "desk", Repeatable::Always);
+    feed.services.push((Name::new("vault"), 1));
+    routes.by_address.insert(FEED, Arc::new(feed));
+    router.set_routes(Arc::new(routes));
+    router
+}
+
+/// Runs openings, responses, retransmissions and silent targets. Returns every verdict and decision, which
+/// depend on all random numbers, loads, suspicions and probes before.
+fn run(explains: bool) -> String {
+    let mut router = two_services();
+    let (mut seen, mut waiting) = (String::new(), Vec::new());
+    for step in 0..2_000u64 {
+        let now = Millis(4_000 + step * 10);
+        // Each client opens a flow, and repeats the opening 200 ms later if its target is a silent one.
+        let copy = u32::from(step % 40 >= 20);
+        let number = step - 20 * u64::from(copy);
+        let id = flow(number as u16, if number % 5 == 0 { CLAIM } else { FEED });
+        if explains {
+            router.explain(now, &id, None);
+            let token = RoutingToken::from_wire(0x1234_5678 ^ step as u32);
+            router.explain(now, &flow(9, UPLOAD), token);
+        }
+        if copy == 0 || waiting.contains(&number) {
+            let verdict = deliver(&mut router, now, &opening(id, copy));
+            let decision = router.take_decision();
+            seen.push_str(&format!(
+                "{verdict:?}{decision:?}{:?}\n",
+                router.take_suspicion_changes()
+            ));
+            if let Some(Decision { target, .. }) = decision {
+                if target.as_str().ends_with("-a") && step < 1_500 {
+                    waiting.push(number);
+                } else {
+                    let data = data(id, &target, 101, 1, 300);
+                    seen.push_str(&format!("{:?}\n", deliver(&mut router, now + Millis(3), &data)));
+                }
+            }
+        }
+        if step % 10 == 0 {
+            router.tick(now);
+        }
+    }
+    format!("{seen}{:?}", router.counters())
+}
+
+/// Guards against an explanation that draws a random number, starts a probe, or counts: decisions after it would
+/// differ. No difference is allowed.
+#[test]
+fn explaining_changes_no_later_decision() {
+    let quiet = run(false);
+    assert!(quiet.contains("suspected: true"), "the run has no suspicion");
+    assert!(quiet.contains("suspected: false"), "the run has no successful probe flow");
+    assert!(quiet == run(true), "the decisions differ");
+}
+
+/// Guards against an explanation that names another target than the router then selects. If several have the same
+/// cost, the selected one has to be among them.
+#[test]
+fn the_explained_target_is_selected() {
+    let mut router = two_services();
+    for step in 0..500u64 {
+        let (now, id) = (Millis(4_000 + step * 10), flow(step as u16, FEED));
+        let explanation = router.explain(now, &id, None);
+        let decision = open(&mut router, now, id, 0);
+        let selected = |name: &str| name == decision.target.as_str();
+        let explained = explanation.new_flow.services.iter().any(|service| {
+            forwarded_to(&service.outcome).is_some_and(selected)
+                || service.tied.iter().any(|name| selected(name.as_str()))
+        });
+        assert!(explained, "step {step}: {} is not in {explanation}", decision.target);
+        let candidate = candidate(&explanation, decision.target.as_str());
+        assert_eq!(candidate.cost, decision.choice.load.cost);
+    }
+}
+
+/// Guards against a wrong or missing reason why a target gets no new flow.
+#[test]
+fn excluded_targets_have_their_causes() {
+    let drains = report("i-drains", 1, 1, TargetState::Draining);
+    let targets = ["i-a", "i-b", "i-gone"].map(|name| target(name, "desk", "east", 1));
+    let mut router = router(targets.into_iter().chain([drains]));
+    let now = Millis(5_000);
+    let kept = ["i-a", "i-b"].map(|name| target(name, "desk", "east", 1));
+    let drains = report("i-drains", 1, 1, TargetState::Draining);
+    router.set_targets(now, kept.into_iter().chain([drains]).collect(), StoreRevision::new(0, 200));
+    let first = open(&mut router, now, flow(1, FEED), 0).target;
+    let later = now + Millis(200);
+    let explanation = router.explain(later, &flow(1, FEED), None);
+    assert_eq!(candidate(&explanation, first.as_str()).excluded_by, [Exclusion::EarlierCopy]);
+    open(&mut router, later, flow(1, FEED), 1);
+    let explanation = router.explain(later, &flow(2, FEED), None);
+    let silent = candidate(&explanation, first.as_str());
+    assert!(
+        matches!(silent.excluded_by[..], [Exclusion::Silent { probe_in_ms }] if probe_in_ms > Millis::ZERO)
+    );
+    assert_eq!(candidate(&explanation, "i-drains").excluded_by, [Exclusion::Draining]);
+    assert_eq!(candidate(&explanation, "i-gone").excluded_by, [Exclusion::Removed]);
+    let text = explanation.to_string();
+    for part in ["route feed", "silent (probe in", "draining", "record removed", "version 1"] {
+        assert!(text.contains(part), "no {part} in {text}");
+    }
+}
+
+/// Guards against an explanation of an open flow that differs from what happens to its next packet.
+#[test_case(Some("i-a"), FEED; "token of a target")]
+#[test_case(Some("i-unknown"), FEED; "token of no target")]
+#[test_case(None, FEED; "tracked flow")]
+#[test_case(Some("i-a"), std::net::SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 1); "no route")]
+fn open_flows_are_explained_as_they_are_routed(
+    name: Option<&str>,
+    service: std::net::SocketAddrV4,
+) {
+    let mut router = router([target("i-a", "desk", "east", 1), target("i-b", "desk", "west", 1)]);
+    let id = flow(5, service);
+    let name = match name {
+        Some(name) => Name::new(name),
+        None => establish(&mut router, Millis(4_000), id),
+    };
+    let token = Some(RoutingToken::of(&name, service)).filter(|_| router.tracked_flows() == 0);
+    let now = Millis(4_100);
+    let explained = router.explain(now, &id, token).open_flow.expect("an explanation").outcome;
+    let verdict = router.on_segment(now, &data(id, &name, 101, 1, 10));
+    match (explained, verdict) {
+        (Outcome::Forward { address, .. }, Verdict::Forward(to)) => assert_eq!(address, to.address),
+        (Outcome::Reset { cause }, Verdict::Reset(reset)) => assert_eq!(cause, reset.label()),
+        (Outcome::Drop { cause }, Verdict::Drop(drop)) => assert_eq!(cause, drop.label()),
+        (explained, verdict) => panic!("explained {explained}, but {verdict:?}"),
+    }
+}
+
+/// Guards against an explanation that fails, or promises a target, while an opening is refused.
+#[test]
+fn refused_openings_are_explained() {
+    let unready = TokenRouter::new(&me(), 7, TokenRouterLimits::default());
+    let refused = unready.explain(Millis(1), &flow(1, FEED), None).new_flow.refused;
+    assert_eq!(refused, Some(Outcome::Drop { cause: "not-ready" }));
+    let router = router([target("i-a", "desk", "east", 1)]);
+    let refused = |now, service| router.explain(now, &flow(1, service), None).new_flow.refused;
+    assert_eq!(refused(Millis(100), UPLOAD), Some(Outcome::Drop { cause: "no-target-yet" }));
+    assert_eq!(refused(Millis(3_000), UPLOAD), Some(Outcome::Reset { cause: "no-target" }));
+}
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -2,6 +2,7 @@
 //! against.
 
 mod data_centre;
+mod explain;
 mod moved_routes;
 mod overload;
 mod refusing_targets;
--- a/crates/jasminecart-forward/src/events.rs
+++ b/crates/jasminecart-forward/src/events.rs
@@ -204,23 +204,11 @@
 }
 
 pub(crate) fn reset_label(cause: ResetCause) -> &'static str {
-    match cause {
-        ResetCause::NoRoute => "no-route",
-        ResetCause::NoTarget => "no-target",
-        ResetCause::TargetGone => "target-gone",
-        ResetCause::TargetSilent => "target-silent",
-        ResetCause::Overloaded => "overloaded",
-    }
+    cause.label()
 }
 
 pub(crate) fn drop_label(cause: DropCause) -> &'static str {
-    match cause {
-        DropCause::NotReady => "not-ready",
-        DropCause::NoTargetYet => "no-target-yet",
-        DropCause::UnknownToken => "unknown-token",
-        DropCause::NoToken => "no-token",
-        DropCause::ForeignToken => "foreign-token",
-    }
+    cause.label()
 }
 
 pub(crate) fn verify_label(cause: VerifyError) -> &'static str {
