Serve explanations on the operators' address and print them with jasminecart explain

Cause: the explanation of the core was not reachable on a running VM, and the command explained entry daemons only.

Exit code 1 for an unknown route, 2 for a VM that is not reachable, not ready or late. A build that responds with metrics is recognised by the missing content type.

--- a/crates/jasminecart-forward/src/daemon.rs
+++ b/crates/jasminecart-forward/src/daemon.rs
@@ -5,16 +5,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jasminecart_core::flow::token::{FlowId, RoutingToken};
 use jasminecart_core::names::VmId;
 use jasminecart_core::time::Millis;
 use jasminecart_core::version::{
     Sharing, SharingMessage, SharingStep, Source, StoreRevision, TransferFailure, View,
 };
 use log::{debug, info};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::edges::{Changes, Encapsulation, Snapshot};
+use crate::explain::Report;
 use crate::feed::{FeedMode, RetryPace, Update};
 use crate::forwarder::{Forwarder, report_socket};
 use crate::peers::{ForwardMessage, Peers, Received};
@@ -32,6 +34,15 @@
     Reload(Box<Settings>),
     /// Announce a planned stop to the peers.
     Leave,
+    /// Explain where the packets of a flow go.
+    Explain {
+        /// The flow.
+        flow: FlowId,
+        /// The token that its packets carry.
+        token: Option<RoutingToken>,
+        /// Where the explanation is sent.
+        reply: oneshot::Sender<Report>,
+    },
 }
 
 /// The state machines of the process with their sockets.
@@ -140,6 +151,21 @@
                     self.sharing.set_members(self.peers.members());
                 }
             }
+            Command::Explain { flow, token, reply } => {
+                // The client may have disconnected meanwhile.
+                let _ = reply.send(self.explain(now, &flow, token));
+            }
+        }
+    }
+
+    fn explain(&self, now: Millis, flow: &FlowId, token: Option<RoutingToken>) -> Report {
+        Report {
+            vm: self.peers.members().me.to_string(),
+            not_ready: self.shared.readiness.not_ready(now),
+            source: source_name(self.source),
+            revision: self.sharing.position().to_string(),
+            view_ms_ago: self.shared.readiness.age(now),
+            explanation: self.forwarder.router().explain(now, flow, token),
         }
     }
 
--- a/crates/jasminecart-forward/src/lib.rs
+++ b/crates/jasminecart-forward/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod edges;
 mod errors;
 mod events;
+pub mod explain;
 mod feed;
 mod forwarder;
 mod http;
--- a/crates/jasminecart-forward/src/process.rs
+++ b/crates/jasminecart-forward/src/process.rs
@@ -116,8 +116,11 @@
     };
     let (command_tx, command_rx) = mpsc::channel(COMMAND_QUEUE);
     tokio::task::spawn_local(daemon.run(rx, command_rx, stream_rx));
-    http::listen(settings.listen.readiness, Page::Readiness, shared.clone()).await?;
-    http::listen(settings.listen.operators, Page::Metrics, shared.clone()).await?;
+    for (address, page) in
+        [(settings.listen.readiness, Page::Readiness), (settings.listen.operators, Page::Operators)]
+    {
+        http::listen(address, page, shared.clone(), command_tx.clone()).await?;
+    }
     let mut signals = Signals::new()?;
     let mut settings = settings;
     loop {
--- a/crates/jasminecart-forward/src/readiness.rs
+++ b/crates/jasminecart-forward/src/readiness.rs
@@ -4,6 +4,8 @@
 
 use jasminecart_core::time::Millis;
 
+use crate::explain::NotReady;
+
 /// The state that determines the response to the platform's readiness probe.
 ///
 /// A VM is ready if it has routes and targets, the store or a peer confirmed them within `fresh_within`, and
@@ -49,6 +51,19 @@
     }
 
     pub(crate) fn is_ready(&self, now: Millis) -> bool {
-        self.loaded.get() && !self.stopping.get() && self.age(now) < self.fresh_within.get()
+        self.not_ready(now).is_none()
+    }
+
+    /// Returns why the VM is not ready, if it is not.
+    pub(crate) fn not_ready(&self, now: Millis) -> Option<NotReady> {
+        if !self.loaded.get() {
+            Some(NotReady::NotLoaded)
+        } else if self.stopping.get() {
+            Some(NotReady::Stopping)
+        } else if self.age(now) >= self.fresh_within.get() {
+            Some(NotReady::Stale)
+        } else {
+            None
+        }
     }
 }
--- a/crates/jasminecart/src/command.rs
+++ b/crates/jasminecart/src/command.rs
@@ -1,6 +1,6 @@
 //! The commands of the command line and their exit codes.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -10,8 +10,9 @@
 use jasminecart_entry::logging;
 use jasminecart_entry::settings::Settings;
 use jasminecart_standin::demo::{self, DemoOptions};
+use serde_json::Value;
 
-use crate::errors::Result;
+use crate::errors::{Error, Result};
 use crate::story::{self, StoryEntry, StoryFilter};
 use crate::{files, operators};
 
@@ -115,12 +116,18 @@
         #[bpaf(positional("LOG"), some("name the logs"))]
         logs: Vec<PathBuf>,
     },
-    /// Explain where a flow or a request goes on a running entry daemon, and why
+    /// Explain where a flow or a request goes on a running daemon, and why
+    ///
+    /// Forwarding VM: --client and --service, IP:PORT each. Entry VM: --flow, or --service with a name. Exit code 1 if
+    /// the service address has no route, 2 if the VM does not respond or is not ready.
     #[bpaf(command)]
     Explain {
         /// What to explain
         #[bpaf(external)]
         subject: Subject,
+        /// Print JSON instead of text
+        #[bpaf(long)]
+        json: bool,
         /// The address of its operators' listener
         #[bpaf(positional("ADDRESS"))]
         address: SocketAddr,
@@ -130,6 +137,18 @@
 /// What to explain.
 #[derive(Clone, Debug, Bpaf)]
 pub enum Subject {
+    /// A flow through a forwarding VM
+    Address {
+        /// The address and port of the client, such as 100.64.0.7:40001
+        #[bpaf(long, argument("IP:PORT"))]
+        client: SocketAddrV4,
+        /// The service address and port, such as 198.18.0.1:443
+        #[bpaf(long, argument("IP:PORT"))]
+        service: SocketAddrV4,
+        /// The routing token of its packets in hexadecimal
+        #[bpaf(long, argument("HEX"), optional)]
+        token: Option<String>,
+    },
     /// A flow
     Flow {
         /// Protocol, client and service, such as tcp,10.9.0.1:40000,10.0.0.1:443
@@ -157,7 +176,7 @@
         Command::Story { flow, target, brief, logs } => {
             print_story(&StoryFilter { flow, target, context: !brief }, &logs)
         }
-        Command::Explain { subject, address } => print_page(address, &explain_path(&subject)).await,
+        Command::Explain { subject, json, address } => explain(address, &subject, json).await,
     };
     result.unwrap_or_else(|error| {
         eprintln!("jasminecart: {error}");
@@ -257,11 +276,67 @@
     Ok(Exit::Success)
 }
 
-fn explain_path(subject: &Subject) -> String {
+async fn explain(address: SocketAddr, subject: &Subject, json: bool) -> Result<Exit> {
+    let path = explain_path(subject, json);
+    if !matches!(subject, Subject::Address { .. }) {
+        let page = operators::get(address, &path).await?;
+        println!("{}", if json { page } else { json_as_text(&page) });
+        return Ok(Exit::Success);
+    }
+    let page = operators::fetch_page(address, &path).await?;
+    if page.content_type.is_none() {
+        // Earlier builds respond with metrics, without a content type, on every path.
+        return Err(Error::NoExplanation { address });
+    }
+    match page.status {
+        200 | 404 => println!("{}", page.text),
+        status => return Err(Error::UnexpectedStatus { address, status, text: page.text }),
+    }
+    Ok(if page.status == 200 { Exit::Success } else { Exit::Negative })
+}
+
+fn explain_path(subject: &Subject, json: bool) -> String {
     match subject {
+        Subject::Address { client, service, token } => {
+            let token = token.as_deref().map_or(String::new(), |token| {
+                format!("&token={}", operators::percent_encode(token))
+            });
+            let format = if json { "json" } else { "text" };
+            format!("/explain?client={client}&service={service}{token}&format={format}")
+        }
         Subject::Flow { flow } => format!("/explain?flow={}", operators::percent_encode(flow)),
         Subject::Service { service } => {
             format!("/explain?service={}", operators::percent_encode(service))
         }
     }
 }
+
+/// Returns the members of a JSON object as lines of text, with nested ones as paths.
+fn json_as_text(page: &str) -> String {
+    let mut lines = Vec::new();
+    match serde_json::from_str(page) {
+        Ok(value) => add_lines(&mut lines, "", &value),
+        Err(_) => lines.push(page.to_owned()),
+    }
+    lines.join("\n")
+}
+
+fn add_lines(lines: &mut Vec<String>, path: &str, value: &Value) {
+    let dot = if path.is_empty() { "" } else { "." };
+    match value {
+        Value::Object(members) => {
+            for (name, value) in members {
+                add_lines(lines, &format!("{path}{dot}{name}"), value);
+            }
+        }
+        Value::Array(values)
+            if values.iter().any(|value| value.is_object() || value.is_array()) =>
+        {
+            for (position, value) in values.iter().enumerate() {
+                add_lines(lines, &format!("{path}{dot}{position}"), value);
+            }
+        }
+        Value::String(text) => lines.push(format!("{path}: {text}")),
+        value => lines.push(format!("{path}: {value}")),
+    }
+}
--- a/crates/jasminecart/src/errors.rs
+++ b/crates/jasminecart/src/errors.rs
@@ -43,6 +43,14 @@
         /// The cause.
         cause: String,
     },
+    /// The listener does not serve explanations.
+    #[error(
+        "the VM at {address} does not explain flows; its build is too old, or the address is not its operators' listener"
+    )]
+    NoExplanation {
+        /// The address.
+        address: std::net::SocketAddr,
+    },
     /// The operators' listener responded with a status other than 200.
     #[error("the operators' listener at {address} responded with status {status}: {text}")]
     UnexpectedStatus {
--- a/crates/jasminecart/src/operators.rs
+++ b/crates/jasminecart/src/operators.rs
@@ -16,19 +16,32 @@
 /// The maximum size of a response body in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Requests a path from the operators' listener and returns the body of the response.
+/// A response of the operators' listener.
+#[derive(Debug)]
+pub(crate) struct Page {
+    pub(crate) status: u16,
+    pub(crate) content_type: Option<String>,
+    pub(crate) text: String,
+}
+
+/// Requests a path from the operators' listener and returns the body of the response, which has to have status 200.
 pub(crate) async fn get(address: SocketAddr, path: &str) -> Result<String> {
+    let Page { status, text, .. } = fetch_page(address, path).await?;
+    if status == 200 { Ok(text) } else { Err(Error::UnexpectedStatus { address, status, text }) }
+}
+
+/// Requests a path from the operators' listener and returns the response, whatever its status.
+pub(crate) async fn fetch_page(address: SocketAddr, path: &str) -> Result<Page> {
     let no_response = |cause: String| Error::NoResponse { address, cause };
     let response = tokio::time::timeout(TIMEOUT, fetch(address, path)).await;
-    let (status, text) = response
+    response
         .map_err(|_| no_response(format!("timed out after {} s", TIMEOUT.as_secs())))?
-        .map_err(|error| no_response(error.to_string()))?;
-    if status == 200 { Ok(text) } else { Err(Error::UnexpectedStatus { address, status, text }) }
+        .map_err(|error| no_response(error.to_string()))
 }
 
 type Cause = Box<dyn std::error::Error + Send + Sync>;
 
-async fn fetch(address: SocketAddr, path: &str) -> std::result::Result<(u16, String), Cause> {
+async fn fetch(address: SocketAddr, path: &str) -> std::result::Result<Page, Cause> {
     let stream = TcpStream::connect(address).await?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
@@ -36,9 +49,11 @@
     let req = Request::get(path).header("host", address.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(req).await?;
     let status = response.status().as_u16();
+    let content_type = response.headers().get("content-type");
+    let content_type = content_type.map(|value| String::from_utf8_lossy(value.as_bytes()).into());
     let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await?.to_bytes();
     driver.abort();
-    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+    Ok(Page { status, content_type, text: String::from_utf8_lossy(&body).into_owned() })
 }
 
 /// Percent-encodes a value for the query of a URL.
