--- a/crates/jasminecart-core/src/flow/token/explanation.rs
+++ b/crates/jasminecart-core/src/flow/token/explanation.rs
@@ -47,6 +47,8 @@
     pub known_targets: usize,
     /// Whether a target that is missing counts as removed: live targets have had time to register.
     pub settled: bool,
+    /// The data centres whose evacuation is in force.
+    pub evacuated: Vec<Name>,
     /// The number of tracked flows.
     pub tracked_flows: usize,
     /// The maximum number of tracked flows.
@@ -195,6 +197,10 @@
     pub refusal_load: f64,
     /// The remaining time of its warm-up.
     pub warm_up_left_ms: Millis,
+    /// The remaining time in which the number of openings to it is limited.
+    pub cold_left_ms: Option<Millis>,
+    /// How many openings this VM may send to it now, while it is cold.
+    pub cold_openings_left: Option<usize>,
     /// The age of its record.
     pub record_ms_ago: Option<Millis>,
     /// The time since a client acknowledged anything from it through this VM.
@@ -232,6 +238,20 @@
     EarlierCopy,
     /// Another target has the same token for the service address.
     Ambiguous,
+    /// Its data centre is evacuated.
+    Evacuated {
+        /// The time since the evacuation came into force at this VM.
+        began_ms_ago: Millis,
+        /// Whether a restored store has lost the request, so that it may end soon.
+        doubted: bool,
+    },
+    /// It is cold, and this VM is none of those that may send it new flows.
+    ColdNotHolder,
+    /// It is cold, and this VM has sent it its share of openings.
+    ColdShareUsed {
+        /// The share of this VM in any window.
+        share: usize,
+    },
 }
 
 impl Exclusion {
@@ -242,7 +262,12 @@
             | Exclusion::DataCentreSilent { .. }
             | Exclusion::ProbeNeedsRepeatable
             | Exclusion::EarlierCopy => true,
-            Exclusion::Draining | Exclusion::Removed | Exclusion::Ambiguous => false,
+            Exclusion::Draining
+            | Exclusion::Removed
+            | Exclusion::Ambiguous
+            | Exclusion::Evacuated { .. }
+            | Exclusion::ColdNotHolder
+            | Exclusion::ColdShareUsed { .. } => false,
         }
     }
 }
@@ -263,6 +288,14 @@
             }
             Exclusion::EarlierCopy => f.write_str("did not respond to an earlier copy"),
             Exclusion::Ambiguous => f.write_str("same token as another target"),
+            Exclusion::Evacuated { began_ms_ago, doubted } => {
+                write!(f, "data centre evacuated (for {} ms", began_ms_ago.get())?;
+                f.write_str(if *doubted { ", request lost by the store)" } else { ")" })
+            }
+            Exclusion::ColdNotHolder => f.write_str("cold, left to other VMs"),
+            Exclusion::ColdShareUsed { share } => {
+                write!(f, "cold, this VM's share of {share} openings is used")
+            }
         }
     }
 }
@@ -404,6 +437,9 @@
         if self.warm_up_left_ms > Millis::ZERO {
             write!(f, ", warming up for {} ms", self.warm_up_left_ms.get())?;
         }
+        if let (Some(time), Some(openings)) = (self.cold_left_ms, self.cold_openings_left) {
+            write!(f, ", cold for {} ms with {openings} openings left", time.get())?;
+        }
         write_age(f, ", record", self.record_ms_ago)?;
         write_age(f, ", contact", self.last_contact_ms_ago)?;
         f.write_str(")")?;
@@ -439,6 +475,9 @@
             self.queue_empty_ms_ago.get(),
             self.delivered_ms_ago.get(),
         )?;
+        let evacuated: Vec<&str> = self.evacuated.iter().map(Name::as_str).collect();
+        let evacuated = if evacuated.is_empty() { "none".into() } else { evacuated.join(", ") };
+        writeln!(f, "evacuated data centres: {evacuated}")?;
         write!(f, "tracked flows: {} of {}", self.tracked_flows, self.max_tracked_flows)
     }
 }
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -5,9 +5,12 @@
 //! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
 //! target of a new flow, `target_tokens` finds the target of a token, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services, `silence` detects targets that do not respond, and `explanation` says for operators where a flow goes and why. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a
-//! token.
+//! overloaded services, `cold_targets` those to targets that started recently, `silence` detects targets that do not respond, and
+//! `explanation` says for operators where a flow goes and why. `docs/platform.md` gives the design;
+//! [`super::BucketRouter`] serves encapsulations without a token.
 
+mod cold_holders;
+mod cold_targets;
 mod explanation;
 mod observed_target;
 mod open_flows;
@@ -22,6 +25,7 @@
 mod token_router;
 mod verdict;
 
+pub use self::cold_targets::{ColdSummary, WarmUpLimit};
 pub use self::explanation::{
     Admission, Candidate, Exclusion, Explanation, Inputs, NewFlowExplanation, OpenFlowExplanation,
     Outcome, RouteExplanation, ServiceExplanation,
--- a/crates/jasminecart-core/src/flow/token/target_selector.rs
+++ b/crates/jasminecart-core/src/flow/token/target_selector.rs
@@ -78,8 +78,11 @@
         indices: &[usize],
         criteria: SelectionCriteria<'_>,
     ) -> Option<Choice> {
-        let usable =
-            |index: &&usize| targets[**index].accepts_flows && !criteria.ambiguous.contains(*index);
+        let usable = |index: &&usize| {
+            let target = &targets[**index];
+            let withheld = target.cold.withheld || criteria.ambiguous.contains(*index);
+            target.accepts_flows && !withheld
+        };
         let candidates = indices.iter().filter(usable).count();
         let eligible = |index: &&usize| {
             let eligibility = targets[**index].eligibility;
@@ -137,6 +140,7 @@
         let relative_latency = target.relative_latency.factor(now);
         let cost =
             (waiting + 1.0) * warm_up * relative_latency / f64::from(target.slots.max(1)) + remote;
+        let cost = cost + target.cold.extra_cost;
         Load { active_requests: target.active_requests, flows: target.flows, cost }
     }
 }
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -1,5 +1,7 @@
 //! The router of packets whose encapsulation carries a routing token.
 
+mod cold;
+mod evacuation;
 mod explain;
 mod learning;
 
@@ -9,6 +11,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+use super::cold_targets::{ColdTargets, WarmUpLimit};
 use super::observed_target::ObservedTarget;
 use super::open_flows::{OpenFlow, OpenFlows};
 use super::overload::{OverloadChange, OverloadControl};
@@ -24,7 +27,8 @@
 use crate::names::{Name, VmId};
 use crate::time::Millis;
 use crate::version::{
-    Effect, Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetList, TargetRecord,
+    Effect, Evacuations, Repeatable, RouteRule, Routes, StoreRevision, TargetChange, TargetList,
+    TargetRecord,
 };
 
 /// Bounds of a [`TokenRouter`].
@@ -34,12 +38,14 @@
     pub max_flows: usize,
     /// Whether new flows to overloaded services are refused.
     pub refuses_under_overload: bool,
+    /// The limit on new flows to targets that started recently, if there is one.
+    pub warm_up: Option<WarmUpLimit>,
 }
 
 impl Default for TokenRouterLimits {
     fn default() -> Self {
         // About 100 bytes each. A VM is planned to carry 14,500 open flows in two years.
-        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true }
+        TokenRouterLimits { max_flows: 20_000, refuses_under_overload: true, warm_up: None }
     }
 }
 
@@ -50,6 +56,7 @@
     limits: TokenRouterLimits,
     routes: Option<Arc<Routes>>,
     list: TargetList,
+    evacuations: Evacuations,
     targets: Vec<ObservedTarget>,
     tokens: TargetTokens,
     by_service: HashMap<Name, Vec<usize>>,
@@ -63,11 +70,13 @@
     data_centres: Vec<(Name, SilenceDetector)>,
     route_means: RouteMeans,
     overload: OverloadControl,
+    cold_targets: ColdTargets,
     selector: TargetSelector,
     rng: ChaCha8Rng,
     decision: Option<Decision>,
     completed_request: Option<CompletedRequest>,
     suspicion_changes: Vec<SuspicionChange>,
+    lapsed_evacuations: Vec<Name>,
     counters: TokenCounters,
 }
 
@@ -80,6 +89,7 @@
             limits,
             routes: None,
             list: TargetList::default(),
+            evacuations: Evacuations::default(),
             targets: Vec::new(),
             tokens: TargetTokens::default(),
             by_service: HashMap::default(),
@@ -89,11 +99,13 @@
             data_centres: Vec::new(),
             route_means: RouteMeans::default(),
             overload: OverloadControl::default(),
+            cold_targets: ColdTargets::new(me.clone(), limits.warm_up),
             selector: TargetSelector::new(me.data_centre.clone(), selector_rng),
             rng,
             decision: None,
             completed_request: None,
             suspicion_changes: Vec::new(),
+            lapsed_evacuations: Vec::new(),
             counters: TokenCounters::default(),
         }
     }
@@ -107,6 +119,7 @@
             let services = routes.by_address.values().flat_map(|rule| &rule.services);
             let services: HashSet<&Name> = services.map(|(service, _)| service).collect();
             self.overload.retain(|service| services.contains(service));
+            self.cold_targets.set_services(&routes.services);
             self.routes = Some(routes);
         }
         adopt
@@ -120,6 +133,7 @@
     /// Records when the store last confirmed this VM's view, directly or through a peer.
     pub fn set_confirmed(&mut self, at: Millis) {
         self.list.set_confirmed(at);
+        self.evacuations.set_confirmed(at);
     }
 
     /// Replaces the whole list of targets with one that was read at `revision`. Returns what changed, and which
@@ -152,6 +166,7 @@
         if self.is_ready() {
             self.overload.tick(now);
         }
+        self.expire_evacuations(now);
         let expired = self.list.expire(now);
         for name in &expired.removed {
             self.update_target(now, name, Effect::Changed);
@@ -159,6 +174,7 @@
         if !expired.purged.is_empty() {
             self.rebuild_tables(now);
         }
+        self.tick_cold_targets(now);
         let idle = self.routes.as_ref().map_or(Millis::MAX, |routes| routes.idle_timeout);
         for flow in self.flows.expire(now, idle) {
             self.subtract_load(&flow);
@@ -283,6 +299,8 @@
         }
         let may_probe = rule.repeatable == Repeatable::Always;
         self.update_eligibility(now, &service);
+        let withheld = self.update_cold_targets(now, &service);
+        self.counters.withheld_openings += u64::from(withheld);
         let indices = self.by_service.get(&service).map_or(&[][..], Vec::as_slice);
         let bytes = self.route_means.bytes(&rule.name);
         let mut ambiguous = Vec::new();
@@ -290,7 +308,10 @@
             let criteria =
                 SelectionCriteria { ambiguous: &ambiguous, avoid: earlier, may_probe, bytes };
             let choice = self.selector.choose(now, &self.targets, indices, criteria);
-            let Some(choice) = choice else { return Verdict::Reset(ResetCause::NoTarget) };
+            let Some(choice) = choice else {
+                let cause = if withheld { ResetCause::TargetsCold } else { ResetCause::NoTarget };
+                return Verdict::Reset(cause);
+            };
             let token = self.targets[choice.index].key.token(segment.flow.service);
             if !self.tokens.is_shared(choice.index, token, segment.flow.service) {
                 break (choice, token);
@@ -299,6 +320,7 @@
             self.counters.ambiguous += 1;
             ambiguous.push(choice.index);
         };
+        self.count_cold_opening(now, choice.index);
         let target = &mut self.targets[choice.index];
         if target.eligibility == Eligibility::ProbeOnly {
             target.silence.on_probe(now);
@@ -460,10 +482,11 @@
         self.add_candidate(index);
     }
 
-    /// Adds a target to the candidates for new flows of its service, if it accepts any.
+    /// Adds a target to the candidates for new flows of its service, if it accepts any and its data
+    /// centre is not evacuated.
     fn add_candidate(&mut self, index: usize) {
         let target = &self.targets[index];
-        if target.accepts_flows {
+        if target.accepts_flows && !self.evacuations.is_evacuated(&target.data_centre) {
             self.by_service.entry(target.service.clone()).or_default().push(index);
         }
     }
--- a/crates/jasminecart-core/src/flow/token/token_router/explain.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router/explain.rs
@@ -1,6 +1,7 @@
 //! Explains decisions without making them: nothing here changes the router.
 
 use super::TokenRouter;
+use crate::flow::token::cold_targets::{ColdExplanation, ColdState};
 use crate::flow::token::explanation::{
     Admission, Candidate, Exclusion, Explanation, Inputs, NewFlowExplanation, OpenFlowExplanation,
     Outcome, RouteExplanation, ServiceExplanation,
@@ -13,7 +14,7 @@
 use crate::flow::token::verdict::{DropCause, ResetCause};
 use crate::names::Name;
 use crate::time::Millis;
-use crate::version::{Registration, Repeatable, RouteRule, Routes, TargetState};
+use crate::version::{EvacuationState, Registration, Repeatable, RouteRule, Routes, TargetState};
 
 /// The maximum number of targets of a service that an explanation lists. It bounds the time and the size of a
 /// response on small VMs.
@@ -47,11 +48,17 @@
             delivered_ms_ago: now.since(self.last_delivered_at),
             known_targets: self.targets.len(),
             settled: self.list.is_settled(now),
+            evacuated: self.explain_evacuations(),
             tracked_flows: self.flows.len(),
             max_tracked_flows: self.limits.max_flows,
         }
     }
 
+    fn explain_evacuations(&self) -> Vec<Name> {
+        let in_force = self.evacuations.iter().filter(|(_, evacuation)| evacuation.is_in_force());
+        in_force.map(|(data_centre, _)| data_centre.clone()).collect()
+    }
+
     fn explain_route(&self, rule: &RouteRule) -> RouteExplanation {
         RouteExplanation {
             name: rule.name.clone(),
@@ -171,6 +178,7 @@
                 let target = &self.targets[*index];
                 forward(target, target.key.token(flow.service))
             }
+            None if self.withholds_cold_target(now, service) => reset(ResetCause::TargetsCold),
             None => reset(ResetCause::NoTarget),
         };
         let tied = best.map_or(Vec::new(), |(_, best)| {
@@ -196,6 +204,13 @@
         }
     }
 
+    fn withholds_cold_target(&self, now: Millis, service: &Name) -> bool {
+        let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut of_service = indices.iter().map(|index| &self.targets[*index]);
+        of_service
+            .any(|target| self.explain_cold(now, target).is_some_and(|cold| cold.state.withheld))
+    }
+
     fn explain_admission(&self, now: Millis, rule: &RouteRule, service: &Name) -> Admission {
         let indices = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let in_progress = indices.iter().map(|index| self.targets[*index].active_requests).sum();
@@ -214,7 +229,12 @@
         let target = &self.targets[index];
         let bytes = self.route_means.bytes(&rule.name);
         let criteria = SelectionCriteria { bytes, ..SelectionCriteria::default() };
-        let load = self.selector.load(now, target, criteria);
+        let cold = self.explain_cold(now, target);
+        // The state that the target caches is updated with each opening only.
+        let current = cold.map_or_else(ColdState::default, |cold| cold.state);
+        let load =
+            self.selector.load(now, &ObservedTarget { cold: current, ..target.clone() }, criteria);
+        let cold = cold.filter(|cold| cold.state.is_cold);
         Candidate {
             target: target.name.clone(),
             data_centre: target.data_centre.clone(),
@@ -227,11 +247,19 @@
             relative_latency: target.relative_latency.factor(now),
             refusal_load: target.refusals.load(now),
             warm_up_left_ms: target.warm_up_until - now,
+            cold_left_ms: cold.map(|cold| cold.until - now),
+            cold_openings_left: cold.map(|cold| cold.left),
             record_ms_ago: self.list.get(&target.name).map(|entry| now.since(entry.received_at)),
             last_contact_ms_ago: target.silence.last_contact_at().map(|at| now.since(at)),
         }
     }
 
+    fn explain_cold(&self, now: Millis, target: &ObservedTarget) -> Option<ColdExplanation> {
+        let rule = self.cold_targets.rule(&target.service)?;
+        let (name, data_centre) = (&target.name, &target.data_centre);
+        Some(self.cold_targets.explain(now, rule, name, data_centre, target.warm_up_until))
+    }
+
     /// Returns what excludes a target from a new flow. The first copy of an opening excludes nothing else; for a flow
     /// that this VM saw only openings of, the next copy is explained.
     fn exclusions(
@@ -256,6 +284,21 @@
         if self.tokens.is_shared(index, token, flow.service) {
             exclusions.push(Exclusion::Ambiguous);
         }
+        if let Some(evacuation) = self.evacuations.get(&target.data_centre)
+            && evacuation.is_in_force()
+        {
+            exclusions.push(Exclusion::Evacuated {
+                began_ms_ago: now.since(evacuation.began_at),
+                doubted: matches!(evacuation.state, EvacuationState::Lost { .. }),
+            });
+        }
+        match self.explain_cold(now, target) {
+            Some(cold) if cold.state.withheld && cold.state.is_held => {
+                exclusions.push(Exclusion::ColdShareUsed { share: cold.share });
+            }
+            Some(cold) if cold.state.withheld => exclusions.push(Exclusion::ColdNotHolder),
+            Some(_) | None => {}
+        }
         let own = target.silence.eligibility(now);
         let shared = match data_centre.is_partitioned() {
             true => data_centre.eligibility(now),
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -48,6 +48,8 @@
     TargetSilent,
     /// The flow is new, and the targets of the service are overloaded.
     Overloaded,
+    /// The flow is new, and the targets of the service are cold and get no more new flows from this VM now.
+    TargetsCold,
 }
 
 impl DropCause {
@@ -72,6 +74,7 @@
             ResetCause::TargetGone => "target-gone",
             ResetCause::TargetSilent => "target-silent",
             ResetCause::Overloaded => "overloaded",
+            ResetCause::TargetsCold => "targets-cold",
         }
     }
 }
@@ -149,4 +152,6 @@
     pub refusals: u64,
     /// How often a target was not selected, because another one has the same token for the service address.
     pub ambiguous: u64,
+    /// Openings for which at least one target was not considered, because it is cold.
+    pub withheld_openings: u64,
 }
--- a/crates/jasminecart-core/tests/token/explain.rs
+++ b/crates/jasminecart-core/tests/token/explain.rs
@@ -6,10 +6,11 @@
     Candidate, Decision, Exclusion, Explanation, Outcome, RoutingToken, TokenRouter,
     TokenRouterLimits, Verdict,
 };
-use jasminecart_core::version::{Repeatable, StoreRevision, TargetState};
+use jasminecart_core::version::{EvacuationChange, Repeatable, StoreRevision, TargetState};
 use jasminecart_core::{Millis, Name};
 use test_case::test_case;
 
+use crate::cold_targets::{settled, targets};
 use crate::support::*;
 
 fn candidate<'a>(explanation: &'a Explanation, target: &str) -> &'a Candidate {
@@ -178,3 +179,79 @@
     assert_eq!(refused(Millis(100), UPLOAD), Some(Outcome::Drop { cause: "no-target-yet" }));
     assert_eq!(refused(Millis(3_000), UPLOAD), Some(Outcome::Reset { cause: "no-target" }));
 }
+
+/// Returns whether an explanation of a new flow includes what happened to the opening.
+fn includes(explanation: &Explanation, verdict: Verdict, selected: Option<&Name>) -> bool {
+    let service = &explanation.new_flow.services[0];
+    match (&service.outcome, verdict) {
+        (Outcome::Forward { target, .. }, Verdict::Forward(_)) => {
+            selected.is_some_and(|name| name == target || service.tied.contains(name))
+        }
+        (Outcome::Reset { cause }, Verdict::Reset(reset)) => *cause == reset.label(),
+        (Outcome::Drop { cause }, Verdict::Drop(drop)) => *cause == drop.label(),
+        (_, _) => false,
+    }
+}
+
+/// Guards against explanations of cold targets that differ from the limit as it is applied, until their cost is normal
+/// again, and against explanations that use up a share.
+#[test]
+fn cold_targets_are_explained_as_they_are_limited() {
+    let run = |explains: bool| {
+        let (mut router, start) = settled(Some(10.0), targets(2, Millis(71_500)));
+        let mut verdicts = Vec::new();
+        for step in 0..350u64 {
+            let (now, id) = (start + Millis(step * 10), flow(step as u16, FEED));
+            let explanation = explains.then(|| router.explain(now, &id, None));
+            verdicts.push(deliver(&mut router, now, &opening(id, 0)));
+            let selected = router.take_decision().map(|decision| decision.target);
+            if let Some(explanation) = explanation {
+                let included =
+                    includes(&explanation, verdicts[verdicts.len() - 1], selected.as_ref());
+                assert!(included, "step {step}: {selected:?} is not in {explanation}");
+            }
+            if step % 10 == 0 {
+                router.tick(now);
+            }
+        }
+        (verdicts, format!("{:?}", router.counters()))
+    };
+    let (verdicts, counters) = run(true);
+    assert!(verdicts.iter().any(|verdict| matches!(verdict, Verdict::Reset(_))), "no refusal");
+    assert_eq!((verdicts, counters), run(false));
+    let (mut router, now) = settled(Some(10.0), targets(1, Millis(71_500)));
+    let cold = |router: &TokenRouter| {
+        let explanation = router.explain(now, &flow(1, FEED), None);
+        let candidate = candidate(&explanation, "a0").clone();
+        (candidate.cold_openings_left, candidate.excluded_by)
+    };
+    assert_eq!(cold(&router), (Some(4), Vec::new()));
+    for port in 0..4 {
+        deliver(&mut router, now, &opening(flow(100 + port, FEED), 0));
+    }
+    assert_eq!(cold(&router), (Some(0), vec![Exclusion::ColdShareUsed { share: 4 }]));
+}
+
+/// Guards against an explanation that hides an evacuation as the cause, or offers an evacuated target.
+#[test]
+fn evacuated_data_centres_are_explained() {
+    let mut router = router([target("i-a", "desk", "east", 1), target("i-b", "desk", "west", 1)]);
+    let evacuate = |router: &mut TokenRouter, data_centre: &str| {
+        let (data_centre, revision) = (Name::new(data_centre), StoreRevision::new(0, 200));
+        let change = EvacuationChange::Requested { data_centre, revision };
+        router.change_evacuation(Millis(4_000), change);
+    };
+    evacuate(&mut router, "east");
+    let (now, id) = (Millis(5_000), flow(1, FEED));
+    let explanation = router.explain(now, &id, None);
+    let expected = Exclusion::Evacuated { began_ms_ago: Millis(1_000), doubted: false };
+    assert_eq!(candidate(&explanation, "i-a").excluded_by, [expected]);
+    let decision = open(&mut router, now, id, 0);
+    assert_eq!(forwarded_to(&explanation.new_flow.services[0].outcome), Some("i-b"));
+    assert_eq!(decision.target.as_str(), "i-b");
+    evacuate(&mut router, "west");
+    let explanation = router.explain(now, &id, None);
+    let verdict = deliver(&mut router, now, &opening(flow(2, FEED), 0));
+    assert!(includes(&explanation, verdict, None), "{verdict:?} is not in {explanation}");
+    assert_eq!(explanation.inputs.evacuated, ["east", "west"].map(Name::new));
+}
--- a/crates/jasminecart-forward/src/metrics.rs
+++ b/crates/jasminecart-forward/src/metrics.rs
@@ -55,8 +55,12 @@
     pub(crate) latency: Family<RouteLabel, Histogram>,
     pub(crate) flows: Gauge,
     pub(crate) targets: Gauge,
+    pub(crate) evacuated_targets: Gauge,
+    pub(crate) evacuations: Gauge,
     pub(crate) suspects: Gauge,
     pub(crate) overloaded_services: Gauge,
+    pub(crate) cold_targets: Gauge,
+    pub(crate) openings_withheld: Gauge,
     pub(crate) refusals: Counter,
     pub(crate) directory_calls: Counter,
     pub(crate) directory_failures: Counter,
@@ -116,11 +120,24 @@
             latency,
             flows: register!(flows, "Open flows observed by this VM"),
             targets: register!(targets, "Targets that take new flows"),
+            evacuated_targets: register!(
+                evacuated_targets,
+                "Targets that get no new flows because their data centre is evacuated"
+            ),
+            evacuations: register!(evacuations, "Data centres whose evacuation is in force"),
             suspects: register!(suspects, "Targets suspected of not answering"),
             overloaded_services: register!(
                 overloaded_services,
                 "Services to which new flows are refused, because their targets are overloaded"
             ),
+            cold_targets: register!(
+                cold_targets,
+                "Targets that started recently and get few new flows"
+            ),
+            openings_withheld: register!(
+                openings_withheld,
+                "Openings for which a target was not considered, because it is cold"
+            ),
             refusals: register!(refusals, "Answers so short that a target probably refused"),
             directory_calls: register!(directory_calls, "Calls to the directory"),
             directory_failures: register!(directory_failures, "Failed calls to the directory"),
