Merge explanations of where a flow goes

Cause: operators could not ask a forwarding VM where a flow goes and what excludes a target. Change: jasminecart explain serves both kinds of VM; explanations include evacuations, cold targets, capacity sharing and earlier second copies.

--- a/crates/jasminecart-core/src/flow/token/cold_holders.rs
+++ b/crates/jasminecart-core/src/flow/token/cold_holders.rs
@@ -124,26 +124,51 @@
         data_centre: &Name,
         budget: ColdBudget,
     ) -> bool {
+        let places = self.places(now, data_centre, budget);
+        places > 0 && self.rank(target) < places
+    }
+
+    /// Returns what [`Holders::is_holder`] would, and stores nothing.
+    pub(super) fn would_hold(
+        &self,
+        now: Millis,
+        target: &Name,
+        data_centre: &Name,
+        budget: ColdBudget,
+    ) -> bool {
+        let places = self.places(now, data_centre, budget);
+        let rank = || self.ranks.get(target).copied().unwrap_or_else(|| self.compute_rank(target));
+        places > 0 && rank() < places
+    }
+
+    /// Returns below which rank this VM is a holder now.
+    fn places(&self, now: Millis, data_centre: &Name, budget: ColdBudget) -> usize {
         let is_settled = self.settled_at.is_some_and(|at| now >= at)
             && now.since(self.ticked_at) < PAUSE_THRESHOLD;
         if !is_settled || !self.has_quorum || *data_centre != self.me.data_centre {
-            return false;
+            0
+        } else if now >= self.experienced_at {
+            budget.holders
+        } else {
+            budget.new_holders
         }
-        let places = if now >= self.experienced_at { budget.holders } else { budget.new_holders };
-        self.rank(target) < places
     }
 
     fn rank(&mut self, target: &Name) -> usize {
         if let Some(rank) = self.ranks.get(target) {
             return *rank;
         }
-        let key = |vm| (Reverse(rendezvous::hash(("cold target", target, vm))), vm);
-        let own = key(&self.me);
-        let rank = self.others.iter().filter(|vm| key(vm) < own).count();
+        let rank = self.compute_rank(target);
         self.ranks.insert(target.clone(), rank);
         rank
     }
 
+    fn compute_rank(&self, target: &Name) -> usize {
+        let key = |vm| (Reverse(rendezvous::hash(("cold target", target, vm))), vm);
+        let own = key(&self.me);
+        self.others.iter().filter(|vm| key(vm) < own).count()
+    }
+
     /// Forgets the ranks of targets that `keep` does not name.
     pub(super) fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
         self.ranks.retain(|target, _| keep(target));
--- a/crates/jasminecart-core/src/flow/token/cold_targets.rs
+++ b/crates/jasminecart-core/src/flow/token/cold_targets.rs
@@ -44,6 +44,18 @@
     pub(super) extra_cost: f64,
 }
 
+/// The limit on openings to a cold target, for an explanation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ColdExplanation {
+    pub(super) state: ColdState,
+    /// The end of the cold time.
+    pub(super) until: Millis,
+    /// How many openings this VM may send in any window, if it is a holder.
+    pub(super) share: usize,
+    /// How many of them are left now.
+    pub(super) left: usize,
+}
+
 /// A change of how many targets are cold, for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ColdSummary {
@@ -143,9 +155,7 @@
         data_centre: &Name,
         reported_until: Millis,
     ) -> ColdState {
-        let returned_at = self.returned.get(data_centre);
-        let returned_until = returned_at.map_or(Millis::ZERO, |at| *at + rule.warm_up);
-        let until = reported_until.max(returned_until);
+        let until = self.cold_until(rule, data_centre, reported_until);
         if now >= until {
             return self.assess_warm(now, target);
         }
@@ -160,6 +170,36 @@
         ColdState { is_cold: true, is_held, withheld, extra_cost: 0.0 }
     }
 
+    fn cold_until(&self, rule: ColdRule, data_centre: &Name, reported_until: Millis) -> Millis {
+        let returned_at = self.returned.get(data_centre);
+        reported_until.max(returned_at.map_or(Millis::ZERO, |at| *at + rule.warm_up))
+    }
+
+    /// Explains what [`ColdTargets::assess`] would return, and changes nothing.
+    pub(super) fn explain(
+        &self,
+        now: Millis,
+        rule: ColdRule,
+        target: &Name,
+        data_centre: &Name,
+        reported_until: Millis,
+    ) -> ColdExplanation {
+        let until = self.cold_until(rule, data_centre, reported_until);
+        let share = rule.budget.share;
+        let known = self.targets.get(target);
+        if now >= until {
+            let extra_cost = known.map_or(0.0, |cold| self.extra_cost(now, target, cold.ends_at));
+            let state = ColdState { extra_cost, ..ColdState::default() };
+            return ColdExplanation { state, until, share, left: share };
+        }
+        let is_held = self.holders.would_hold(now, target, data_centre, rule.budget);
+        let recent = known
+            .map_or(0, |cold| cold.openings.iter().filter(|at| now.since(**at) < WINDOW).count());
+        let left = if is_held { share.saturating_sub(recent) } else { 0 };
+        let state = ColdState { is_cold: true, is_held, withheld: left == 0, extra_cost: 0.0 };
+        ColdExplanation { state, until, share, left }
+    }
+
     /// Returns the state of a target that is not cold. Every VM sees a target that becomes warm as empty at the
     /// same moment; its cost reaches the normal value at another moment on each VM, so that they do not all select
     /// it at once.
@@ -167,12 +207,17 @@
         let Some(cold) = self.targets.get_mut(target) else { return ColdState::default() };
         // A record may report the end of the cold time earlier than expected.
         cold.ends_at = cold.ends_at.min(now);
-        let age = now.since(cold.ends_at).get() as f64;
-        let decay = COST_DECAY.get() as f64 * self.holders.spread(target);
-        let extra_cost = INITIAL_EXTRA_COST * (1.0 - age / decay).max(0.0);
+        let ends_at = cold.ends_at;
+        let extra_cost = self.extra_cost(now, target, ends_at);
         ColdState { extra_cost, ..ColdState::default() }
     }
 
+    fn extra_cost(&self, now: Millis, target: &Name, ends_at: Millis) -> f64 {
+        let age = now.since(ends_at).get() as f64;
+        let decay = COST_DECAY.get() as f64 * self.holders.spread(target);
+        INITIAL_EXTRA_COST * (1.0 - age / decay).max(0.0)
+    }
+
     /// Counts an opening that was sent to a cold target.
     pub(super) fn on_opening(&mut self, now: Millis, target: &Name) {
         if let Some(cold) = self.targets.get_mut(target) {
--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -7,12 +7,14 @@
 //! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
 //! overloaded services in the order of `admission_order`, `service_selector` divides the flows of a route among its
 //! services by weight and by what `service_load` estimates that they can carry, `cold_targets` limits new flows to
-//! targets that started recently, and `silence` detects targets that do not respond. `docs/platform.md` gives the
-//! design; [`super::BucketRouter`] serves encapsulations without a token.
+//! targets that started recently, `silence` detects targets that do not respond, and `explanation` says for operators
+//! where a flow goes and why. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations
+//! without a token.
 
 mod admission_order;
 mod cold_holders;
 mod cold_targets;
+mod explanation;
 mod observed_target;
 mod open_flows;
 mod overload;
@@ -31,6 +33,10 @@
 
 pub use self::admission_order::{AdmissionOrder, Precedence};
 pub use self::cold_targets::{ColdSummary, WarmUpLimit};
+pub use self::explanation::{
+    AdmissionExplanation, Candidate, Exclusion, Explanation, Inputs, NewFlowExplanation,
+    OpenFlowExplanation, Outcome, RouteExplanation, ServiceExplanation,
+};
 pub use self::overload::OverloadChange;
 pub use self::routing_token::RoutingToken;
 pub use self::second_openings::{SecondCopy, SecondCopyEvent, SecondCopyRefusal, SecondCopyTiming};
--- a/crates/jasminecart-core/src/flow/token/overload.rs
+++ b/crates/jasminecart-core/src/flow/token/overload.rs
@@ -7,6 +7,7 @@
 //! throughput times the latency to keep. `docs/platform.md`, "Overload", has the figures.
 
 use super::admission_order::{AdmissionOrder, Precedence};
+use super::explanation::AdmissionExplanation;
 use super::service_selector::Admission;
 use crate::hashing::HashMap;
 use crate::names::Name;
@@ -155,7 +156,7 @@
         rule: &RouteRule,
         in_progress: impl FnOnce() -> u32,
     ) -> bool {
-        let settled = self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE);
+        let settled = self.is_settled(now);
         let Some(load) = self.services.get_mut(service) else { return true };
         load.order.observe(now, rule);
         if !settled || !load.is_overloaded(now) {
@@ -206,6 +207,39 @@
         self.services.get(service).is_some_and(|load| load.is_overloaded(now))
     }
 
+    /// Returns whether clients have had time to repeat what they sent before this VM was ready.
+    fn is_settled(&self, now: Millis) -> bool {
+        self.ready_at.is_some_and(|at| now.since(at) >= START_GRACE)
+    }
+
+    /// Explains what [`OverloadControl::admits`] would decide, and changes nothing.
+    pub(super) fn explain(
+        &self,
+        now: Millis,
+        service: &Name,
+        rule: &RouteRule,
+        in_progress: u32,
+    ) -> AdmissionExplanation {
+        let Some(load) = self.services.get(service) else {
+            return AdmissionExplanation { in_progress, ..AdmissionExplanation::default() };
+        };
+        // A copy, because the order records each route that it is asked about.
+        let mut order = load.order.clone();
+        let guaranteed = self.guarantees && order.precedence(now, rule) == Precedence::Guaranteed;
+        let limit = load.limit.max(MIN_LIMIT) * order.share(now, rule);
+        let overloaded = load.is_overloaded(now);
+        AdmissionExplanation {
+            overloaded,
+            enforced: overloaded && self.is_settled(now),
+            guaranteed,
+            limit: Some(limit),
+            in_progress,
+            left: Some((limit - f64::from(in_progress)).max(0.0)),
+            latency_percent_of_objective: Some(100.0 * load.latency_ratio),
+            sampled_ms_ago: Some(now.since(load.sampled_at)),
+        }
+    }
+
     /// Updates the limits. Call it about every 100 ms, once this VM has routes and targets.
     pub(super) fn tick(&mut self, now: Millis) {
         self.ready_at.get_or_insert(now);
--- a/crates/jasminecart-core/src/flow/token/token_router.rs
+++ b/crates/jasminecart-core/src/flow/token/token_router.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod evacuation;
+mod explain;
 mod learning;
 mod second_copies;
 mod services;
--- a/crates/jasminecart-core/src/flow/token/verdict.rs
+++ b/crates/jasminecart-core/src/flow/token/verdict.rs
@@ -52,6 +52,33 @@
     TargetsCold,
 }
 
+impl DropCause {
+    /// Returns the name of the cause in logs, metrics and explanations.
+    pub fn label(self) -> &'static str {
+        match self {
+            DropCause::NotReady => "not-ready",
+            DropCause::NoTargetYet => "no-target-yet",
+            DropCause::UnknownToken => "unknown-token",
+            DropCause::NoToken => "no-token",
+            DropCause::ForeignToken => "foreign-token",
+        }
+    }
+}
+
+impl ResetCause {
+    /// Returns the name of the cause in logs, metrics and explanations.
+    pub fn label(self) -> &'static str {
+        match self {
+            ResetCause::NoRoute => "no-route",
+            ResetCause::NoTarget => "no-target",
+            ResetCause::TargetGone => "target-gone",
+            ResetCause::TargetSilent => "target-silent",
+            ResetCause::Overloaded => "overloaded",
+            ResetCause::TargetsCold => "targets-cold",
+        }
+    }
+}
+
 /// What to do with a packet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/jasminecart-core/tests/token/cold_targets.rs
+++ b/crates/jasminecart-core/tests/token/cold_targets.rs
@@ -38,7 +38,7 @@
 }
 
 /// Returns targets that stay cold for `cold_for`.
-fn targets(count: usize, cold_for: Millis) -> Vec<TargetRecord> {
+pub(crate) fn targets(count: usize, cold_for: Millis) -> Vec<TargetRecord> {
     let names = (0..count).map(|number| format!("a{number}"));
     names.map(|name| TargetRecord { cold_for, ..target(&name, "desk", "east", 1) }).collect()
 }
@@ -205,7 +205,7 @@
 }
 
 /// Returns a router of a data centre with one VM, 70 s after its start, and the time.
-fn settled(rate: Option<f64>, records: Vec<TargetRecord>) -> (TokenRouter, Millis) {
+pub(crate) fn settled(rate: Option<f64>, records: Vec<TargetRecord>) -> (TokenRouter, Millis) {
     let mut router = vm_router(&me(), rate, records);
     let membership = membership(me(), 1);
     let mut now = Millis::ZERO;
--- a/crates/jasminecart-core/tests/token/main.rs
+++ b/crates/jasminecart-core/tests/token/main.rs
@@ -5,6 +5,7 @@
 mod cold_targets;
 mod data_centre;
 mod evacuation;
+mod explain;
 mod moved_routes;
 mod overload;
 mod refusing_targets;
