Test that explanations of overload equal the limit

Cause: no test compared the explained limit under overload with the decision.

Change: the tests of overload share their set-up with those of explanations.

--- a/crates/jasminecart-core/tests/token/explain.rs
+++ b/crates/jasminecart-core/tests/token/explain.rs
@@ -11,6 +11,7 @@
 use test_case::test_case;
 
 use crate::cold_targets::{settled, targets};
+use crate::overload::{OBJECTIVE, SETTLED, serve, vm};
 use crate::support::*;
 
 fn candidate<'a>(explanation: &'a Explanation, target: &str) -> &'a Candidate {
@@ -255,3 +256,20 @@
     assert!(includes(&explanation, verdict, None), "{verdict:?} is not in {explanation}");
     assert_eq!(explanation.inputs.evacuated, ["east", "west"].map(Name::new));
 }
+
+/// Guards against an explanation of overload that differs from the limit as it is applied.
+#[test]
+fn overload_is_explained_as_it_is_limited() {
+    let mut router = vm();
+    let now = serve(&mut router, SETTLED, 100, OBJECTIVE * 2);
+    let mut refused = 0;
+    for port in 0..200 {
+        let id = flow(30_000 + port, FEED);
+        let explanation = router.explain(now, &id, None);
+        let verdict = deliver(&mut router, now, &opening(id, 0));
+        let selected = router.take_decision().map(|decision| decision.target);
+        assert!(includes(&explanation, verdict, selected.as_ref()), "{verdict:?}: {explanation}");
+        refused += usize::from(matches!(verdict, Verdict::Reset(_)));
+    }
+    assert!(refused > 0, "no refusal");
+}
--- a/crates/jasminecart-core/tests/token/overload.rs
+++ b/crates/jasminecart-core/tests/token/overload.rs
@@ -7,11 +7,11 @@
 use test_case::test_case;
 
 /// The latency objective of all routes.
-const OBJECTIVE: u64 = 150;
+pub(crate) const OBJECTIVE: u64 = 150;
 /// A time after the grace that follows the start of a process.
-const SETTLED: Millis = Millis(5_000);
+pub(crate) const SETTLED: Millis = Millis(5_000);
 
-fn vm() -> TokenRouter {
+pub(crate) fn vm() -> TokenRouter {
     let targets = (0..4).map(|number| target(&format!("a{number}"), "desk", "east", 1));
     let mut router = router(targets.chain([target("v", "vault", "east", 1)]));
     router.tick(Millis(1));
@@ -19,7 +19,7 @@
 }
 
 /// Serves `count` claims, one every 10 ms, each with the given latency. Returns the time of the last.
-fn serve(router: &mut TokenRouter, from: Millis, count: u16, latency: u64) -> Millis {
+pub(crate) fn serve(router: &mut TokenRouter, from: Millis, count: u16, latency: u64) -> Millis {
     let mut now = from;
     for port in 0..count {
         let claim = flow(10_000 + port, CLAIM);
