--- a/crates/jasminecart-core/src/flow/token/mod.rs
+++ b/crates/jasminecart-core/src/flow/token/mod.rs
@@ -2,14 +2,19 @@
 //!
 //! Where the encapsulation has a 32-bit field that both ends echo, every VM can route every packet of an
 //! open flow from the list of targets alone, without entries, owners or transfers. Only an opening needs a
-//! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each; `target_selector` selects the
-//! target of a new flow, `target_tokens` finds the target of a token, `open_flows` tracks the flows that pass through this VM, `relative_latency` compares
-//! the latency of targets, `refusal` detects targets that refuse requests, `overload` limits new flows to
-//! overloaded services in the order of `admission_order`, `service_selector` divides the flows of a route among its
-//! services by weight and by what `service_load` estimates that they can carry, `cold_targets` limits new flows to
-//! targets that started recently, `silence` detects targets that do not respond, and `explanation` says for operators
-//! where a flow goes and why. `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations
-//! without a token.
+//! decision. [`TokenRouter`] routes packets and returns a [`Verdict`] for each. The modules around it:
+//!
+//! - `service_selector` divides the flows of a route among its services, by weight and by what `service_load`
+//!   estimates that they can carry;
+//! - `overload` limits new flows to overloaded services, in the order of `admission_order`;
+//! - `target_selector` selects the target of a new flow, and `second_openings` that of a second copy;
+//! - `cold_targets` limits new flows to targets that started recently, by the VMs that `cold_holders` selects;
+//! - `target_tokens` finds the target of a token;
+//! - `open_flows` tracks the flows that pass through this VM, `relative_latency` compares the latency of targets,
+//!   `refusal` detects targets that refuse requests, and `silence` those that do not respond;
+//! - `explanation` says for operators where a flow goes and why.
+//!
+//! `docs/platform.md` gives the design; [`super::BucketRouter`] serves encapsulations without a token.
 
 mod admission_order;
 mod cold_holders;
