--- a/crates/jasminecart-core/src/second_copies/budget.rs
+++ b/crates/jasminecart-core/src/second_copies/budget.rs
@@ -1,7 +1,5 @@
 //! The limit on second copies, and the token bucket that enforces it.
 
-use crate::ini::{Problems, Section};
-
 /// Credit is counted in ten-thousandths of a copy, since the share has a resolution of 0.01 %.
 const CREDIT_PER_COPY: u64 = 10_000;
 const MAX_SHARE_PERCENT: f64 = 20.0;
@@ -23,6 +21,9 @@
 }
 
 impl SecondCopyLimit {
+    /// The burst if none is set.
+    pub const DEFAULT_BURST: u32 = DEFAULT_BURST;
+
     /// Creates a limit of `percent` second copies for each 100 first ones and of `burst` at once. Returns `None`
     /// if a value is out of bounds, or if `percent` is positive and below the resolution of 0.01.
     pub fn new(percent: f64, burst: u32) -> Option<SecondCopyLimit> {
@@ -33,23 +34,14 @@
         (share > 0 || percent == 0.0).then_some(SecondCopyLimit { share, burst })
     }
 
-    /// Reads the limit from a section of settings. Without a share no second copy may be sent.
-    pub fn read(mut section: Section, problems: &mut Problems) -> SecondCopyLimit {
-        let expected = "a percentage from 0 to 20, such as 2.5";
-        let share = section.optional(problems, "share", expected, SecondCopyLimit::parse_share);
-        let expected = "a number from 1 to 1000";
-        let burst = section.optional(problems, "burst", expected, SecondCopyLimit::parse_burst);
-        section.finish(problems);
-        let burst = burst.unwrap_or(DEFAULT_BURST);
-        SecondCopyLimit::new(share.unwrap_or(0.0), burst).unwrap_or_default()
-    }
-
-    fn parse_share(text: &str) -> Option<f64> {
+    /// Parses the percentage of a limit.
+    pub fn parse_share(text: &str) -> Option<f64> {
         let valid = |percent: &f64| SecondCopyLimit::new(*percent, DEFAULT_BURST).is_some();
         text.parse().ok().filter(valid)
     }
 
-    fn parse_burst(text: &str) -> Option<u32> {
+    /// Parses the burst of a limit.
+    pub fn parse_burst(text: &str) -> Option<u32> {
         text.parse().ok().filter(|burst| (1..=MAX_BURST).contains(burst))
     }
 
--- a/crates/jasminecart-entry/src/settings.rs
+++ b/crates/jasminecart-entry/src/settings.rs
@@ -151,7 +151,7 @@
     let platform = read_platform(ini::take(sections, "platform"), problems);
     let seeds = read_peers(ini::take(sections, "peers"), problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
-    let second_copies = SecondCopyLimit::read(ini::take(sections, "second_copies"), problems);
+    let second_copies = read_second_copies(ini::take(sections, "second_copies"), problems);
     let log = read_log(ini::take(sections, "log"), problems);
     let ((me, size), listen, platform) = (vm?, listen?, platform?);
     Some(Settings { me, size, listen, platform, seeds, limits, second_copies, log, seed: None })
@@ -269,6 +269,16 @@
     section.optional(problems, key, &expected, parse).unwrap_or(default)
 }
 
+fn read_second_copies(mut section: Section, problems: &mut Problems) -> SecondCopyLimit {
+    let expected = "a percentage from 0 to 20, such as 2.5";
+    let share = section.optional(problems, "share", expected, SecondCopyLimit::parse_share);
+    let expected = "a number from 1 to 1000";
+    let burst = section.optional(problems, "burst", expected, SecondCopyLimit::parse_burst);
+    section.finish(problems);
+    let burst = burst.unwrap_or(SecondCopyLimit::DEFAULT_BURST);
+    SecondCopyLimit::new(share.unwrap_or(0.0), burst).unwrap_or_default()
+}
+
 fn read_duration(
     section: &mut Section,
     problems: &mut Problems,
--- a/crates/jasminecart-forward/src/settings.rs
+++ b/crates/jasminecart-forward/src/settings.rs
@@ -129,7 +129,7 @@
     peers.finish(problems);
     let limits = read_limits(ini::take(sections, "limits"), problems);
     let warm_up = read_warm_up(ini::take(sections, "warm_up"), problems);
-    let second_copies = SecondCopyLimit::read(ini::take(sections, "second_copies"), problems);
+    let second_copies = read_second_copies(ini::take(sections, "second_copies"), problems);
     let mut log = ini::take(sections, "log");
     let levels = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
     let log_level = log.optional(problems, "level", levels, parse).unwrap_or(LevelFilter::Info);
@@ -201,6 +201,16 @@
     Some(WarmUpLimit { overage: overage?, slack: slack? })
 }
 
+fn read_second_copies(mut section: Section, problems: &mut Problems) -> SecondCopyLimit {
+    let expected = "a percentage from 0 to 20, such as 2.5";
+    let share = section.optional(problems, "share", expected, SecondCopyLimit::parse_share);
+    let expected = "a number from 1 to 1000";
+    let burst = section.optional(problems, "burst", expected, SecondCopyLimit::parse_burst);
+    section.finish(problems);
+    let burst = burst.unwrap_or(SecondCopyLimit::DEFAULT_BURST);
+    SecondCopyLimit::new(share.unwrap_or(0.0), burst).unwrap_or_default()
+}
+
 fn read_duration(
     section: &mut Section,
     problems: &mut Problems,
