Review, case 1: a machine takes itself for up to date without a request for an evacuation

Cause: a machine that reads the withdrawal and the next request of an evacuation in one response finds nothing changed for itself, and announces the new revision as one up to which nothing changed. A peer that had learned of the withdrawal alone advances to that revision without the request.

No code of the product is changed.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -717,6 +717,8 @@
         self.seeds = []
         self.altered = 0
         self.openings, self.runs, self.resets = [], [], []
+        # The machine through which each opening came.
+        self.opening_vms = []
         # The endpoint at which each flow opened.
         self.opened = {}
         # The endpoint that last reset a flow which it did not hold, and the machine that took the packet.
@@ -815,8 +817,14 @@
     def on_opening(self, endpoint, packet):
         sent_at = self.sent[packet.src, packet.dst, packet.ack]
         self.openings.append((sent_at, self.record.now(), endpoint.ident))
+        self.opening_vms.append(self.taken[packet.src, packet.dst].name)
         self.record.line(f"endpoint {endpoint.ident} of {endpoint.service} takes an opening of {packet.src} to {packet.dst}")
 
+    def late_openings(self, idents, since):
+        """Returns the arrival, endpoint and machine of the openings that were sent and taken after a time."""
+        openings = zip(self.openings, self.opening_vms)
+        return [(at, ident, vm) for (sent, at, ident), vm in openings if ident in idents and sent > since and at > since]
+
     def on_run(self, endpoint, key, request):
         self.runs.append((self.record.now(), endpoint.ident, endpoint.service, request, key[1]))
         self.record.line(f"endpoint {endpoint.ident} of {endpoint.service} runs request {request} to {key[1]}")
